--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,42 @@
+// Package cmd provides the command line of magnoliashore, one file a command.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the program.
+const (
+	exitOK    = 0
+	exitError = 1
+)
+
+// Execute runs the command that args name and returns the exit code.
+func Execute(ctx context.Context, args []string) int {
+	root := newRootCmd()
+	root.cmd.SetArgs(args)
+	if err := root.cmd.ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "magnoliashore: %v\n", err)
+		return exitError
+	}
+	return exitOK
+}
+
+type rootCmd struct {
+	cmd *cobra.Command
+}
+
+func newRootCmd() *rootCmd {
+	root := &rootCmd{}
+	root.cmd = &cobra.Command{
+		Use:           "magnoliashore",
+		Short:         "a query tier over many shards",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	return root
+}
