feat: entry host and peer protocol, not yet wired to all decisions

Cause: the thin path needs the wiring before the decisions are deep. Change: package peer (WebSocket links, CBOR frames), package entry (duties of one host).

--- a/deps/deps.go
+++ b/deps/deps.go
@@ -13,6 +13,7 @@
 	_ "github.com/goccy/go-yaml"
 	_ "github.com/gorilla/websocket"
 	_ "github.com/kataras/iris/v12"
+	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/sys/unix"
 	_ "gonum.org/v1/plot"
 	_ "gonum.org/v1/plot/plotter"
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,366 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/event"
+	"github.com/magnoliashore/magnoliashore/operator"
+	"github.com/magnoliashore/magnoliashore/peer"
+	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// Times of the configuration duty.
+const (
+	bootstrapWait = 1500 * time.Millisecond // for a peer's word before a starting host trusts the platform alone
+	readTimeout   = time.Second             // for one read of the platform
+	retryWait     = 200 * time.Millisecond  // after a failed watch
+	maxBackoff    = 8                       // polls between two reads while the platform fails
+)
+
+// config is the duty that keeps the configuration in force.
+type config struct {
+	host     *Host
+	keys     []string
+	current  atomic.Pointer[magnoliashore.View]
+	changed  chan struct{} // holds one mark after each change
+	started  time.Time
+	heard    atomic.Bool // a peer's configuration was taken in
+	complete atomic.Bool
+
+	mu      sync.Mutex
+	store   *platform.Store
+	reader  *platform.Reader
+	hosts   magnoliashore.HostList
+	hostsAt time.Time
+	readAt  time.Time
+	rank    int // place among the readers of the cell
+	failing int
+}
+
+func newConfig(h *Host) *config {
+	c := &config{
+		host:    h,
+		keys:    []string{platform.TableKey(h.Settings.Cell), platform.LayoutKey(h.Settings.Cell)},
+		changed: make(chan struct{}, 1),
+		started: h.Timer.Now(),
+	}
+	c.store = platform.NewStore(c.check)
+	c.reader = c.newReader()
+	return c
+}
+
+func (c *config) newReader() *platform.Reader {
+	return platform.NewReader(platform.ReaderConfig{
+		Rank: c.rank, Poll: c.host.Settings.Config.Poll, Quiet: c.host.Settings.Config.Quiet,
+	})
+}
+
+// check says whether a value is valid. It depends on the bytes alone, so that
+// all hosts agree.
+func (c *config) check(v magnoliashore.Value) error {
+	if v.Key() == c.keys[0] {
+		_, err := operator.DecodeTable(v.Version(), v.Data())
+		return err
+	}
+	_, err := platform.DecodeLayout(v.Version(), v.Data())
+	return err
+}
+
+// view returns the configuration in force; the zero View before there is one.
+func (c *config) view() magnoliashore.View {
+	if v := c.current.Load(); v != nil {
+		return *v
+	}
+	return magnoliashore.View{}
+}
+
+// ready reports whether there is a configuration, and peers were asked for a
+// newer one or had their time to answer.
+func (c *config) ready() bool {
+	if !c.complete.Load() {
+		return false
+	}
+	return c.heard.Load() || c.host.Timer.Now().Sub(c.started) > bootstrapWait
+}
+
+// offer takes in a value from the platform or a peer.
+func (c *config) offer(v magnoliashore.Value, from string) {
+	c.mu.Lock()
+	verdict, err := c.store.Offer(v)
+	if verdict == platform.Applied {
+		c.rebuild()
+	}
+	c.mu.Unlock()
+	c.report(v, verdict, err, from)
+}
+
+func (c *config) report(v magnoliashore.Value, verdict platform.Verdict, err error, from string) {
+	spec := magnoliashore.EventSpec{Peer: from, Detail: fmt.Sprintf("%s version %d", v.Key(), v.Version())}
+	switch {
+	case verdict == platform.Applied:
+		spec.Code = event.ConfigApplied
+		c.mark()
+	case err != nil:
+		spec.Code = event.ConfigInvalid
+		spec.Detail += ": " + err.Error()
+	case verdict == platform.Old:
+		spec.Code = event.ConfigStale
+	default:
+		return
+	}
+	c.host.emit(spec)
+}
+
+// rebuild derives the view from the values in force.
+func (c *config) rebuild() {
+	tableValue, okTable := c.store.Get(c.keys[0])
+	layoutValue, okLayout := c.store.Get(c.keys[1])
+	if !okTable || !okLayout {
+		return
+	}
+	table, err := operator.DecodeTable(tableValue.Version(), tableValue.Data())
+	if err != nil {
+		return
+	}
+	layout, err := platform.DecodeLayout(layoutValue.Version(), layoutValue.Data())
+	if err != nil {
+		return
+	}
+	view := magnoliashore.NewView(table, layout, c.hosts)
+	c.current.Store(&view)
+	c.complete.Store(true)
+}
+
+func (c *config) mark() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// offerHosts takes in a host list that was read age ago.
+func (c *config) offerHosts(hosts magnoliashore.HostList, age time.Duration) {
+	now := c.host.Timer.Now()
+	at := now.Add(-age)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !at.After(c.hostsAt) {
+		return
+	}
+	c.hostsAt = at
+	if hashHosts(hosts) == hashHosts(c.hosts) {
+		return
+	}
+	c.hosts = hosts
+	if view := c.current.Load(); view != nil {
+		next := magnoliashore.NewView(view.Table(), view.Layout(), hosts)
+		c.current.Store(&next)
+	}
+	c.mark()
+}
+
+func hashHosts(hosts magnoliashore.HostList) uint64 {
+	digest := xxhash.New()
+	for _, name := range hosts.LeavingNames() {
+		_, _ = digest.WriteString(name)
+		_, _ = digest.WriteString("\n")
+	}
+	return digest.Sum64()
+}
+
+// fill puts what the configuration duty tells peers into info.
+func (c *config) fill(info *peer.Info) {
+	now := c.host.Timer.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, key := range c.keys {
+		info.Held = append(info.Held, peer.Held{Key: key, Version: c.store.Version(key)})
+	}
+	info.ReadAge = ageOf(now, c.readAt)
+	info.HostsAge = ageOf(now, c.hostsAt)
+	info.HostsHash = hashHosts(c.hosts)
+}
+
+func ageOf(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(at)
+}
+
+// hear takes in what a peer says of its configuration and returns what to
+// fetch from it.
+func (c *config) hear(info peer.Info, rank, own int) (peer.Fetch, bool) {
+	now := c.host.Timer.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rank < own && info.ReadAge >= 0 && info.ReadAge < c.host.Settings.Config.Quiet {
+		c.reader.Heard(now)
+	}
+	var fetch peer.Fetch
+	wanted := false
+	for _, held := range info.Held {
+		fetch.Held = append(fetch.Held, peer.Held{Key: held.Key, Version: c.store.Seen(held.Key)})
+		wanted = wanted || held.Version > c.store.Seen(held.Key)
+	}
+	ours := ageOf(now, c.hostsAt)
+	newer := info.HostsAge >= 0 && (ours < 0 || info.HostsAge+c.host.Settings.Lease.Heartbeat/2 < ours)
+	if newer && info.HostsHash == hashHosts(c.hosts) {
+		c.hostsAt = now.Add(-info.HostsAge)
+		newer = false
+	}
+	fetch.Hosts = newer
+	if !wanted && info.Ready {
+		c.heard.Store(true)
+	}
+	return fetch, wanted || newer
+}
+
+// fetch returns the values that a peer lacks.
+func (c *config) fetch(request peer.Fetch) peer.Values {
+	now := c.host.Timer.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var values peer.Values
+	for _, held := range request.Held {
+		if v, ok := c.store.Get(held.Key); ok && v.Version() > held.Version {
+			values.List = append(values.List, v)
+		}
+	}
+	if request.Hosts && !c.hostsAt.IsZero() {
+		hosts := c.hosts
+		values.Hosts = &hosts
+		values.HostsAge = now.Sub(c.hostsAt)
+	}
+	return values
+}
+
+// setRank tells the duty this host's place among the readers of its cell.
+func (c *config) setRank(rank int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rank == c.rank {
+		return
+	}
+	c.rank = rank
+	c.reader = c.newReader()
+}
+
+// run reads the platform when it is this host's turn, until ctx ends.
+func (c *config) run(ctx context.Context) error {
+	var watching context.CancelFunc
+	defer func() {
+		if watching != nil {
+			watching()
+		}
+	}()
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		duty := c.reader.Duty(c.host.Timer.Now())
+		c.mu.Unlock()
+		if duty == platform.Watch && watching == nil {
+			watching = c.watch(ctx)
+		}
+		if duty != platform.Watch && watching != nil {
+			watching()
+			watching = nil
+		}
+		if duty == platform.Watch {
+			c.readAll(ctx)
+		}
+		c.pause(ctx)
+	}
+	return nil
+}
+
+// pause waits one poll period with jitter, longer while the platform fails.
+func (c *config) pause(ctx context.Context) {
+	c.mu.Lock()
+	factor := min(1<<min(c.failing, 3), maxBackoff)
+	c.mu.Unlock()
+	wake := c.host.Timer.After(timer.Jitter(time.Duration(factor) * c.host.Settings.Config.Poll))
+	defer wake.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake.C:
+	}
+}
+
+// watch starts one long-polling duty a key and returns how to end them.
+func (c *config) watch(ctx context.Context) context.CancelFunc {
+	c.host.emit(magnoliashore.EventSpec{Code: event.ReaderTaken})
+	ctx, cancel := context.WithCancel(ctx)
+	for _, key := range c.keys {
+		go c.watchKey(ctx, key)
+	}
+	return cancel
+}
+
+func (c *config) watchKey(ctx context.Context, key string) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		after := c.store.Seen(key)
+		c.mu.Unlock()
+		value, err := c.host.Platform.Watch(ctx, key, after)
+		if err == nil {
+			c.offer(value, "platform")
+			continue
+		}
+		wake := c.host.Timer.After(timer.Jitter(retryWait * maxBackoff))
+		select {
+		case <-ctx.Done():
+		case <-wake.C:
+		}
+		wake.Stop()
+	}
+}
+
+// readAll reads every key and the host list once.
+func (c *config) readAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	var failed error
+	for _, key := range c.keys {
+		value, err := c.host.Platform.Read(ctx, key)
+		if err == nil {
+			c.offer(value, "platform")
+			continue
+		}
+		if !errors.Is(err, platform.ErrAbsent) {
+			failed = errors.CombineErrors(failed, err)
+		}
+	}
+	hosts, err := c.host.Platform.Hosts(ctx)
+	if err == nil {
+		c.offerHosts(hosts, 0)
+	}
+	c.note(errors.CombineErrors(failed, err))
+}
+
+// note records whether the platform could be read.
+func (c *config) note(err error) {
+	c.mu.Lock()
+	before := c.failing
+	if err == nil {
+		c.failing = 0
+		c.readAt = c.host.Timer.Now()
+	} else {
+		c.failing++
+	}
+	c.mu.Unlock()
+	if err != nil && before == 0 {
+		c.host.emit(magnoliashore.EventSpec{Code: event.PlatformLost, Peer: "platform", Detail: err.Error()})
+	}
+	if err == nil && before > 0 {
+		c.host.emit(magnoliashore.EventSpec{Code: event.PlatformBack, Peer: "platform"})
+	}
+}
--- /dev/null
+++ b/entry/gather.go
@@ -0,0 +1,405 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/event"
+	"github.com/magnoliashore/magnoliashore/merge"
+	"github.com/magnoliashore/magnoliashore/plan"
+	"github.com/magnoliashore/magnoliashore/ring"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// maxAttempts is how many sub-requests one partition may cost: the first, a
+// hedge and a retry.
+const maxAttempts = 3
+
+// attempt is one sub-request that was sent and not yet answered.
+type attempt struct {
+	piece  *piece
+	sub    magnoliashore.Sub
+	route  route
+	at     time.Time
+	extra  bool   // a hedge or a retry
+	cancel func() // withdraws a sub-request to a target of this host
+}
+
+// piece is the state of one partition of the query.
+type piece struct {
+	plan    plan.Piece
+	tried   []magnoliashore.TargetID
+	open    int // attempts not yet answered
+	done    bool
+	hedgeAt time.Time // zero if it is not to be hedged
+}
+
+// gatherer runs one attempt at a query on one snapshot.
+type gatherer struct {
+	host    *Host
+	query   magnoliashore.Query
+	plan    plan.Plan
+	view    magnoliashore.View
+	merger  *merge.Merger
+	due     time.Time
+	answers *ring.Ring[magnoliashore.SubAnswer]
+	pieces  []*piece
+	waiting map[uint64]*attempt
+	left    int
+	sent    int
+	retired bool          // a target no longer has the snapshot
+	refused time.Duration // longest advice when to come back
+}
+
+func newGatherer(h *Host, query magnoliashore.Query, p plan.Plan, view magnoliashore.View) *gatherer {
+	g := &gatherer{
+		host:    h,
+		query:   query,
+		plan:    p,
+		view:    view,
+		merger:  merge.New(p, view, query.Merge()),
+		due:     query.Deadline().Add(-answerReserve),
+		answers: ring.New[magnoliashore.SubAnswer](len(p.Pieces()) * maxAttempts),
+		waiting: make(map[uint64]*attempt, len(p.Pieces())),
+		left:    len(p.Pieces()),
+	}
+	for _, part := range p.Pieces() {
+		g.pieces = append(g.pieces, &piece{plan: part})
+	}
+	return g
+}
+
+// run sends the first sub-requests and takes answers until every partition is
+// settled, the deadline comes or the caller gives up.
+func (g *gatherer) run(ctx context.Context) {
+	defer g.withdrawAll()
+	g.scatter()
+	late := g.host.Timer.At(g.due)
+	defer late.Stop()
+	var hedge *timer.Subscription
+	defer func() { stop(hedge) }()
+	for g.left > 0 && !g.retired {
+		stop(hedge)
+		hedge = g.nextHedge()
+		select {
+		case answer := <-g.answers.Items():
+			g.take(answer)
+			g.takeMore()
+		case now := <-channel(hedge):
+			g.hedge(now)
+		case <-late.C:
+			g.giveUp(magnoliashore.ReasonDeadline)
+			return
+		case <-ctx.Done():
+			g.giveUp(magnoliashore.ReasonCancelled)
+			return
+		}
+	}
+}
+
+func stop(s *timer.Subscription) {
+	if s != nil {
+		s.Stop()
+	}
+}
+
+func channel(s *timer.Subscription) <-chan time.Time {
+	if s == nil {
+		return nil
+	}
+	return s.C
+}
+
+// takeMore takes the answers that have arrived by now.
+func (g *gatherer) takeMore() {
+	for {
+		select {
+		case answer := <-g.answers.Items():
+			g.take(answer)
+		default:
+			return
+		}
+	}
+}
+
+// scatter sends the first sub-request of every partition, one batch an owner.
+func (g *gatherer) scatter() {
+	batches := newBatches()
+	for _, p := range g.pieces {
+		g.first(p, batches)
+	}
+	g.host.hedger.Sent(g.sent)
+	g.host.budget.Earn(g.sent)
+	g.send(batches)
+}
+
+func (g *gatherer) first(p *piece, batches *batches) {
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), nil)
+	if !ok {
+		reason := p.plan.Reason()
+		if reason == magnoliashore.ReasonNone {
+			reason = magnoliashore.ReasonOwner
+		}
+		g.fail(p, reason)
+		return
+	}
+	a := g.attempt(p, r, false)
+	batches.add(a)
+	if delay, ok := g.host.hedger.Delay(p.plan.Service().Name()); ok && g.mayHedge(p) {
+		p.hedgeAt = a.at.Add(delay)
+	}
+}
+
+func (g *gatherer) mayHedge(p *piece) bool {
+	return !g.query.Once() && p.plan.Service().Hedge() && len(p.plan.Targets()) > 1
+}
+
+// attempt registers a sub-request of the partition on the route.
+func (g *gatherer) attempt(p *piece, r route, extra bool) *attempt {
+	a := &attempt{
+		piece: p,
+		route: r,
+		extra: extra,
+		at:    g.host.Timer.Now(),
+		sub: magnoliashore.NewSub(magnoliashore.SubSpec{
+			ID: g.host.subs.Add(1), Query: g.query.ID(), Partition: p.plan.Partition(), Target: r.target,
+			Snapshot: g.plan.Snapshot(), Deadline: g.due, Once: g.query.Once(), Body: g.query.Body(),
+		}),
+	}
+	p.tried = append(p.tried, r.target)
+	p.open++
+	g.sent++
+	g.waiting[a.sub.ID()] = a
+	g.host.loads.sent(r.target)
+	return a
+}
+
+func (g *gatherer) send(batches *batches) {
+	for _, a := range batches.local {
+		a.cancel = g.host.workers.submit(a.sub, g.reply)
+	}
+	for _, b := range batches.remote {
+		b.route.link.Submit(b.subs, g.reply)
+	}
+}
+
+// reply takes a final answer from any goroutine. The ring has room for every
+// attempt.
+func (g *gatherer) reply(answer magnoliashore.SubAnswer) { g.answers.Push(answer) }
+
+// take merges an answer, or tries another replica, or gives the partition up.
+func (g *gatherer) take(answer magnoliashore.SubAnswer) {
+	a, ok := g.waiting[answer.ID()]
+	if !ok {
+		return
+	}
+	g.settle(a)
+	g.host.loads.learn(a.route.target, answer.Load())
+	if a.piece.done {
+		return
+	}
+	reason := g.merger.Add(answer)
+	if reason == magnoliashore.ReasonNone {
+		g.merged(a)
+		return
+	}
+	g.refused = max(g.refused, answer.After())
+	if reason == magnoliashore.ReasonSnapshot && g.startAgain() {
+		g.retired = true
+		return
+	}
+	if g.retry(a, answer) {
+		return
+	}
+	if a.piece.open == 0 {
+		g.fail(a.piece, reason)
+	}
+}
+
+// startAgain reports whether a newer snapshot is published, so that the whole
+// query should start again.
+func (g *gatherer) startAgain() bool {
+	return g.host.canRestart(g.query, g.plan)
+}
+
+func (g *gatherer) settle(a *attempt) {
+	delete(g.waiting, a.sub.ID())
+	a.piece.open--
+	g.host.loads.settled(a.route.target)
+}
+
+func (g *gatherer) merged(a *attempt) {
+	if !a.extra {
+		g.host.hedger.Observe(a.piece.plan.Service().Name(), g.host.Timer.Now().Sub(a.at))
+	}
+	a.piece.done = true
+	g.left--
+	g.withdrawPiece(a.piece)
+}
+
+func (g *gatherer) fail(p *piece, reason magnoliashore.Reason) {
+	g.merger.Miss(p.plan.Partition(), reason)
+	p.done = true
+	g.left--
+}
+
+// retry sends the partition's sub-request to another replica if that is safe,
+// allowed and can still be in time.
+func (g *gatherer) retry(a *attempt, answer magnoliashore.SubAnswer) bool {
+	p := a.piece
+	if g.query.Once() || !p.plan.Service().Retry() || len(p.tried) >= maxAttempts {
+		return false
+	}
+	if costsTarget(answer) && !g.host.budget.Take() {
+		return false
+	}
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried)
+	if !ok {
+		return false
+	}
+	g.host.emit(magnoliashore.EventSpec{
+		Code: event.QueryRetried, Query: g.query.ID(), Target: r.target, Detail: string(answer.Reason()),
+	})
+	g.host.meters.retries.Inc()
+	g.sendExtra(p, r)
+	return true
+}
+
+// costsTarget reports whether the failed attempt cost a target work, so that
+// another attempt is extra load and needs the budget.
+func costsTarget(answer magnoliashore.SubAnswer) bool {
+	return answer.Outcome() != magnoliashore.OutcomeNotRun || answer.Reason() == magnoliashore.ReasonShed
+}
+
+func (g *gatherer) sendExtra(p *piece, r route) {
+	batches := newBatches()
+	batches.add(g.attempt(p, r, true))
+	g.send(batches)
+}
+
+// nextHedge subscribes to the earliest time at which a partition is hedged.
+func (g *gatherer) nextHedge() *timer.Subscription {
+	var earliest time.Time
+	for _, p := range g.pieces {
+		if p.done || p.hedgeAt.IsZero() {
+			continue
+		}
+		if earliest.IsZero() || p.hedgeAt.Before(earliest) {
+			earliest = p.hedgeAt
+		}
+	}
+	if earliest.IsZero() {
+		return nil
+	}
+	return g.host.Timer.At(earliest)
+}
+
+// hedge sends a second sub-request for each partition that is late.
+func (g *gatherer) hedge(now time.Time) {
+	for _, p := range g.pieces {
+		if p.done || p.hedgeAt.IsZero() || p.hedgeAt.After(now) {
+			continue
+		}
+		p.hedgeAt = time.Time{}
+		g.hedgePiece(p)
+	}
+}
+
+func (g *gatherer) hedgePiece(p *piece) {
+	if len(p.tried) >= maxAttempts {
+		return
+	}
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried)
+	if !ok || r.load.Cold() || r.load.Queue() > r.load.Limit() {
+		return
+	}
+	if !g.host.hedger.Take() {
+		return
+	}
+	g.host.meters.hedges.Inc()
+	g.sendExtra(p, r)
+}
+
+// giveUp settles every open partition as missing.
+func (g *gatherer) giveUp(reason magnoliashore.Reason) {
+	g.takeMore()
+	for _, a := range g.waiting {
+		if !a.piece.done {
+			g.merger.Add(magnoliashore.Lose(a.sub, reason))
+		}
+	}
+	for _, p := range g.pieces {
+		if !p.done {
+			g.fail(p, reason)
+		}
+	}
+}
+
+// withdrawPiece cancels what still runs for a partition that is settled.
+func (g *gatherer) withdrawPiece(p *piece) {
+	if p.open == 0 {
+		return
+	}
+	for _, a := range g.waiting {
+		if a.piece == p {
+			g.withdraw(a)
+		}
+	}
+}
+
+func (g *gatherer) withdrawAll() {
+	for _, a := range g.waiting {
+		g.withdraw(a)
+	}
+}
+
+func (g *gatherer) withdraw(a *attempt) {
+	g.settle(a)
+	if a.cancel != nil {
+		a.cancel()
+		return
+	}
+	a.route.link.Cancel([]uint64{a.sub.ID()})
+}
+
+// answer returns the final answer; subs is the number of sub-requests that
+// the query cost in all.
+func (g *gatherer) answer(subs int) magnoliashore.Answer {
+	coverage := g.merger.Coverage()
+	spec := magnoliashore.AnswerSpec{
+		Query: g.query.ID(), Outcome: g.merger.Outcome(), Snapshot: g.plan.Snapshot(), Coverage: coverage,
+		Subs: subs, Host: g.host.Settings.Host,
+	}
+	if missing := coverage.Missing(); len(missing) > 0 {
+		spec.Reason = missing[0].Reason()
+		spec.Detail = "partition " + string(missing[0].Partition()) + " is missing"
+	}
+	switch spec.Outcome {
+	case magnoliashore.OutcomeNotRun:
+		spec.After = max(g.refused, time.Millisecond)
+		spec.Detail = "no target accepted the query"
+	default:
+		spec.Parts = g.merger.Parts()
+		spec.Items = g.merger.Items()
+	}
+	if spec.Outcome == magnoliashore.OutcomeRan && coverage.Share() < g.leastCoverage() {
+		spec.Reason = magnoliashore.ReasonCoverage
+		spec.Detail = "the answer covers less than the service needs"
+	}
+	if !coverage.Complete() {
+		g.host.emit(magnoliashore.EventSpec{
+			Code: event.QueryPartial, Query: g.query.ID(), Detail: string(spec.Reason) + ": " + spec.Detail,
+		})
+	}
+	return magnoliashore.NewAnswer(spec)
+}
+
+// leastCoverage returns the highest of the rows' lowest useful coverages.
+func (g *gatherer) leastCoverage() float64 {
+	least := 0.0
+	for _, p := range g.pieces {
+		least = max(least, p.plan.Service().Coverage())
+	}
+	return least
+}
--- a/layout.go
+++ b/layout.go
@@ -1,6 +1,9 @@
 package magnoliashore
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Seat is the published place of one entry host in a cell.
 type Seat struct {
@@ -194,6 +197,11 @@
 // Live returns the names of the live hosts.
 func (h HostList) Live() []string { return h.live }
 
+// LeavingNames returns the names of the leaving hosts, sorted.
+func (h HostList) LeavingNames() []string {
+	return slices.Sorted(maps.Keys(h.leaving))
+}
+
 // Leaving reports whether the named host is leaving.
 func (h HostList) Leaving(name string) bool { return h.leaving[name] }
 
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/websocket"
+	"golang.org/x/sys/unix"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/ring"
+)
+
+// Times and sizes of a connection between two entry hosts.
+const (
+	writeTimeout  = 2 * time.Second        // for one frame
+	userTimeout   = 800 * time.Millisecond // after which the kernel drops what it could not deliver
+	handshakeTime = time.Second
+	outboxSize    = 4096 // messages
+	coalesceLimit = 64   // answers in one frame
+)
+
+// session is one WebSocket connection with its writing duty.
+type session struct {
+	conn   *websocket.Conn
+	codec  *Codec
+	outbox *ring.Ring[any]
+	done   chan struct{}
+	order  func() uint64
+	ready  func(message any) (any, bool) // last look at a message before it is written
+}
+
+func newSession(conn *websocket.Conn, codec *Codec, order func() uint64) *session {
+	conn.SetReadLimit(maxFrame)
+	return &session{
+		conn:   conn,
+		codec:  codec,
+		outbox: ring.New[any](outboxSize),
+		done:   make(chan struct{}),
+		order:  order,
+		ready:  func(message any) (any, bool) { return message, true },
+	}
+}
+
+// write runs the writing duty until ctx ends or a write fails, then closes
+// the connection.
+func (s *session) write(ctx context.Context) {
+	defer func() { _ = s.conn.Close() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.done:
+			return
+		case message := <-s.outbox.Items():
+			if err := s.writeOne(message); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *session) writeOne(message any) error {
+	if answer, ok := message.(magnoliashore.SubAnswer); ok {
+		return s.writeAnswers(answer)
+	}
+	message, ok := s.ready(message)
+	if !ok {
+		return nil
+	}
+	return s.send(message)
+}
+
+// writeAnswers joins the answers that wait in the outbox into one frame. A
+// message of another kind that it meets is written after them.
+func (s *session) writeAnswers(first magnoliashore.SubAnswer) error {
+	list := []magnoliashore.SubAnswer{first}
+	for len(list) < coalesceLimit {
+		select {
+		case message := <-s.outbox.Items():
+			if answer, ok := message.(magnoliashore.SubAnswer); ok {
+				list = append(list, answer)
+				continue
+			}
+			if err := s.send(Answers{Order: s.order(), List: list}); err != nil {
+				return err
+			}
+			return s.writeOne(message)
+		default:
+			return s.send(Answers{Order: s.order(), List: list})
+		}
+	}
+	return s.send(Answers{Order: s.order(), List: list})
+}
+
+func (s *session) send(message any) error {
+	frame, err := s.codec.Encode(message)
+	if err != nil {
+		return err
+	}
+	if err := s.conn.SetWriteDeadline(s.codec.Clock.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return s.conn.WriteMessage(websocket.BinaryMessage, frame)
+}
+
+// read returns the next message. A frame that is malformed gives an error
+// marked as errFrame; the connection itself still stands.
+func (s *session) read() (any, error) {
+	kind, frame, err := s.conn.ReadMessage()
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.BinaryMessage {
+		return nil, errors.Mark(errors.New("a text message is not a frame"), errFrame)
+	}
+	message, err := s.codec.Decode(frame)
+	if err != nil {
+		return nil, errors.Mark(err, errFrame)
+	}
+	return message, nil
+}
+
+var errFrame = errors.New("malformed frame")
+
+// controlSocket sets TCP_USER_TIMEOUT on a connection between entry hosts.
+func controlSocket(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
--- a/query.go
+++ b/query.go
@@ -64,6 +64,18 @@
 // ID returns the query's name.
 func (q Query) ID() QueryID { return q.spec.ID }
 
+// WithID returns a copy of the query with a name.
+func (q Query) WithID(id QueryID) Query {
+	q.spec.ID = id
+	return q
+}
+
+// WithDeadline returns a copy of the query that is due at another time.
+func (q Query) WithDeadline(deadline time.Time) Query {
+	q.spec.Deadline = deadline
+	return q
+}
+
 // Group returns the group that the query addresses.
 func (q Query) Group() GroupName { return q.spec.Group }
 
@@ -121,6 +133,12 @@
 // Deadline returns when the answer is due, on the clock of this process.
 func (s Sub) Deadline() time.Time { return s.spec.Deadline }
 
+// WithDeadline returns a copy of the sub-request that is due at another time.
+func (s Sub) WithDeadline(deadline time.Time) Sub {
+	s.spec.Deadline = deadline
+	return s
+}
+
 // Once reports whether the sub-request must never be sent twice.
 func (s Sub) Once() bool { return s.spec.Once }
 
