feat(settings): seeds to ask at the start

Cause: a starting host needs its peers while the platform is down or stale. Change: addresses of other entry hosts in the settings; the entry wiring follows the packages' names.

--- a/entry/placement.go
+++ b/entry/placement.go
@@ -29,7 +29,7 @@
 	if changed {
 		placement := owner.Place(layout, live)
 		c.leased.Set(placement)
-		c.static.Set(placement, live)
+		c.static.Set(live)
 		c.own(now, placement)
 		c.host.workers.refresh()
 	}
--- a/entry/query.go
+++ b/entry/query.go
@@ -43,7 +43,7 @@
 		query = query.WithID(magnoliashore.QueryID(name))
 	}
 	if query.Deadline().IsZero() {
-		query = query.WithDeadline(now.Add(plan.Deadline(h.view(), query)))
+		query = query.WithDeadline(now.Add(plan.Deadline(h.view(), query.Group(), query.Services())))
 	}
 	return query
 }
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -50,6 +50,8 @@
 			textValue(func(s *Settings) *string { return &s.Operator })},
 		{"", "platform", "address of the configuration service and host list", "127.0.0.1:7301",
 			textValue(func(s *Settings) *string { return &s.Platform })},
+		{"", "seeds", "addresses of other entry hosts towards peers, joined by spaces, to ask for a configuration at the start", "",
+			listValue(func(s *Settings) *[]string { return &s.Seeds })},
 		{"", "log", "lowest level that is logged: debug, info, warn, error or fatal", "",
 			textValue(func(s *Settings) *string { return &s.Log })},
 	}
--- a/settings/sample.go
+++ b/settings/sample.go
@@ -37,7 +37,7 @@
 
 // scalarText quotes text that YAML would read as something else.
 func scalarText(text string) string {
-	if bytes.ContainsAny([]byte(text), ":#\"'\\{}[],&*!|>%@` \t\r\n") {
+	if text == "" || bytes.ContainsAny([]byte(text), ":#\"'\\{}[],&*!|>%@` \t\r\n") {
 		return strconv.Quote(text)
 	}
 	return text
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,7 @@
 	Peer     string                 // address towards other entry hosts, "ip:port"
 	Operator string                 // address of the admin pages, "ip:port"
 	Platform string                 // address of the platform, "ip:port"
+	Seeds    []string               // addresses of other entry hosts, asked for a configuration at the start
 	Log      string                 // lowest level that is logged
 	Lease    Lease
 	Policy   Policy
--- a/settings/value.go
+++ b/settings/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,17 @@
 	}
 }
 
+// listValue is a setting that holds words joined by spaces.
+func listValue(at func(s *Settings) *[]string) value {
+	return value{
+		set: func(s *Settings, text string) error {
+			*at(s) = strings.Fields(text)
+			return nil
+		},
+		get: func(s *Settings) string { return strings.Join(*at(s), " ") },
+	}
+}
+
 // timeValue is a setting that holds a time with its unit.
 func timeValue(at func(s *Settings) *time.Duration) value {
 	return value{
