--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliashore/magnoliashore/standin"
+)
+
+type platformCmd struct {
+	cmd     *cobra.Command
+	address string
+	admin   string
+	lag     time.Duration
+}
+
+func newPlatformCmd() *platformCmd {
+	c := &platformCmd{}
+	c.cmd = &cobra.Command{
+		Use:   "platform",
+		Short: "run a stand-in for the configuration service and host list",
+		Args:  cobra.NoArgs,
+		RunE:  c.run,
+	}
+	flags := c.cmd.Flags()
+	flags.StringVar(&c.address, "address", "127.0.0.1:7900", "ip:port of the read side")
+	flags.StringVar(&c.admin, "admin", "127.0.0.1:7901", "ip:port of the operator's side")
+	flags.DurationVar(&c.lag, "lag", 0, "how long a new host list stays hidden")
+	return c
+}
+
+func (c *platformCmd) run(cmd *cobra.Command, _ []string) error {
+	platform := &standin.Platform{Address: c.address, Admin: c.admin, Lag: c.lag}
+	return platform.Run(cmd.Context())
+}
--- /dev/null
+++ b/standin/config.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+type wireTargets struct {
+	Targets []wireTarget `yaml:"targets"`
+}
+
+type wireTarget struct {
+	ID         string        `yaml:"id"`
+	Zone       string        `yaml:"zone"`
+	Service    string        `yaml:"service"`
+	Address    string        `yaml:"address"`
+	Slots      int           `yaml:"slots"`
+	Cold       int           `yaml:"cold"`
+	Conns      int           `yaml:"conns"`
+	ConnCost   time.Duration `yaml:"conncost"`
+	Latency    time.Duration `yaml:"latency"`
+	Straggle   float64       `yaml:"straggle"`
+	Straggler  time.Duration `yaml:"straggler"`
+	WarmAfter  int           `yaml:"warmafter"`
+	Seed       uint64        `yaml:"seed"`
+	Snapshots  []uint64      `yaml:"snapshots"`
+	Partitions []string      `yaml:"partitions"`
+	Shed       int           `yaml:"shed"`
+	LedgerSize int           `yaml:"ledgersize"`
+}
+
+// ParseTargets reads the YAML form of a list of targets. Its only key is
+// targets; each element has the fields of TargetConfig in lower case.
+func ParseTargets(data []byte) ([]TargetConfig, error) {
+	var wire wireTargets
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := decoder.Decode(&wire); err != nil {
+		return nil, errors.Wrap(err, "targets")
+	}
+	list := make([]TargetConfig, 0, len(wire.Targets))
+	seen := make(map[string]bool, len(wire.Targets))
+	for i, t := range wire.Targets {
+		if t.ID == "" {
+			return nil, errors.Newf("targets[%d]: the id is empty", i)
+		}
+		if seen[t.ID] {
+			return nil, errors.Newf("targets[%d]: id %q is listed twice", i, t.ID)
+		}
+		seen[t.ID] = true
+		list = append(list, TargetConfig(t))
+	}
+	return list, nil
+}
+
+// FormatTargets returns the YAML that ParseTargets reads.
+func FormatTargets(list []TargetConfig) ([]byte, error) {
+	wire := wireTargets{Targets: make([]wireTarget, 0, len(list))}
+	for _, t := range list {
+		wire.Targets = append(wire.Targets, wireTarget(t))
+	}
+	return yaml.Marshal(wire)
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,85 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 5 * time.Second
+)
+
+func listen(ctx context.Context, addr string) (net.Listener, error) {
+	if addr == "" {
+		addr = defaultAddress
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", addr)
+	return listener, magnoliashore.Step(err, "listen", addr)
+}
+
+func address(listener net.Listener) string {
+	if listener == nil {
+		return ""
+	}
+	return listener.Addr().String()
+}
+
+// server is one running HTTP server.
+type server struct {
+	http *http.Server
+	done chan error
+}
+
+func newServer(handler http.Handler) *server {
+	return &server{
+		http: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
+		done: make(chan error, 1),
+	}
+}
+
+func serve(listener net.Listener, handler http.Handler) *server {
+	s := newServer(handler)
+	s.start(listener)
+	return s
+}
+
+func (s *server) start(listener net.Listener) {
+	go func() { s.done <- s.http.Serve(listener) }()
+}
+
+// wait returns when ctx ends, or with the error of the first server that ends
+// on its own.
+func wait(ctx context.Context, servers []*server) error {
+	ended := make(chan error, len(servers))
+	for _, s := range servers {
+		go func() { ended <- <-s.done }()
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-ended:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return magnoliashore.Step(err, "serve", "")
+	}
+}
+
+// stop lets running calls end, and cuts those that take too long.
+func stop(servers []*server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.http.Shutdown(ctx); err != nil {
+			_ = s.http.Close()
+		}
+	}
+}
--- /dev/null
+++ b/standin/targetconfig.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"slices"
+	"time"
+)
+
+// TargetConfig configures a Target.
+type TargetConfig struct {
+	ID      string
+	Zone    string
+	Service string
+	// Address is the "ip:port" address to listen on; empty means a free port
+	// of 127.0.0.1.
+	Address string
+	// Slots is how many requests run at once; at least 1.
+	Slots int
+	// Cold is how many requests may run at once while the target is cold; at
+	// least 1. One more, and it falls over.
+	Cold int
+	// Conns is how many connections are accepted; zero means any number.
+	Conns int
+	// ConnCost delays the first reply on a new connection.
+	ConnCost time.Duration
+	// Latency is the median service time of a warm target.
+	Latency time.Duration
+	// Straggle is the probability of a service time of Straggler, 0 to 1.
+	Straggle  float64
+	Straggler time.Duration
+	// WarmAfter is how many completed requests make a cold target warm; with
+	// zero the target starts warm.
+	WarmAfter int
+	// Seed seeds the service times.
+	Seed uint64
+	// Snapshots are the snapshots that the target serves; empty means 1.
+	Snapshots []uint64
+	// Partitions are the partitions that the target serves; empty means any.
+	Partitions []string
+	// Shed is how many requests may wait for a slot before others are refused.
+	Shed int
+	// LedgerSize is how many of the newest ledger entries are kept; zero
+	// means 262,144.
+	LedgerSize int
+}
+
+const defaultLedgerSize = 1 << 18
+
+// withDefaults returns a copy with the zero fields filled in.
+func (c TargetConfig) withDefaults() TargetConfig {
+	c.Slots = max(c.Slots, 1)
+	c.Cold = max(c.Cold, 1)
+	c.Shed = max(c.Shed, 0)
+	if c.LedgerSize <= 0 {
+		c.LedgerSize = defaultLedgerSize
+	}
+	if len(c.Snapshots) == 0 {
+		c.Snapshots = []uint64{1}
+	}
+	c.Snapshots = slices.Clone(c.Snapshots)
+	c.Partitions = slices.Clone(c.Partitions)
+	return c
+}
