feat(target): send sub-requests to targets over pooled connections

Cause: entry hosts need a Sender that says truly whether a request can have run, and that reports when trust in a connection ends. Ruled out: trusting the transport's own error for 'nothing written', since its write loop may still run when it returns; the right to write is withdrawn under a lock before an outcome is stated. Plain close on cancellation, since the kernel goes on sending what the target has not acknowledged; such a connection is reset.

--- /dev/null
+++ b/target/conn.go
@@ -0,0 +1,128 @@
+package target
+
+import (
+	"net"
+	"os"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// conn is one connection to a target. It carries one request at a time.
+type conn struct {
+	net.Conn
+
+	link   *link
+	now    atomic.Pointer[attempt] // the request that may be written
+	sent   atomic.Pointer[attempt] // the request of which bytes were written
+	bad    atomic.Bool             // it must not carry another request
+	closed atomic.Bool             // this process has closed it
+	broken atomic.Bool             // the other side or the kernel ended it
+	ended  atomic.Bool             // it does not count as standing any more
+}
+
+// attach makes a the request that the connection may write.
+func (c *conn) attach(a *attempt) {
+	c.now.Store(a)
+	if err := c.SetWriteDeadline(a.gate); err != nil {
+		c.bad.Store(true)
+	}
+}
+
+// Read reads from the socket. An error that this process did not cause is an
+// unexpected break.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.fail(err)
+	}
+	return n, err
+}
+
+// Write writes p unless the request is not allowed to or its gate has passed.
+func (c *conn) Write(p []byte) (int, error) {
+	a := c.now.Load()
+	if a == nil || c.bad.Load() {
+		return 0, errSealed
+	}
+	if err := a.begin(c); err != nil {
+		a.stop()
+		return 0, err
+	}
+	first := c.sent.Load() != a
+	n, err := c.push(a, p)
+	if n > 0 {
+		c.sent.Store(a)
+	}
+	if err != nil && n == 0 && first {
+		a.empty()
+		a.stop()
+	}
+	return n, err
+}
+
+// push checks the gate and then writes.
+func (c *conn) push(a *attempt, p []byte) (int, error) {
+	if a.passed() {
+		a.refuse()
+		return 0, errGate
+	}
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.refuse()
+		return n, errGate
+	}
+	c.fail(err)
+	return n, err
+}
+
+// fail reports an unexpected break once, unless this process has closed the
+// connection.
+func (c *conn) fail(err error) {
+	if c.closed.Load() || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.broken.Store(true)
+	if c.ended.CompareAndSwap(false, true) {
+		c.link.quota.fell()
+		c.link.watch.broke()
+	}
+}
+
+// Close closes the connection. Bytes that the target has not acknowledged are
+// discarded, so that they cannot arrive later.
+func (c *conn) Close() error {
+	if !c.closed.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && unacknowledged(tcp) {
+		_ = tcp.SetLinger(0)
+	}
+	err := c.Conn.Close()
+	if c.ended.CompareAndSwap(false, true) {
+		c.link.quota.fell()
+		c.link.watch.closed()
+	}
+	c.link.quota.give()
+	return err
+}
+
+// spoil closes the connection after a broken reply to a. If another request
+// holds the connection already, that one is kept from writing, or the
+// connection is closed when it ends.
+func (c *conn) spoil(a *attempt) {
+	c.bad.Store(true)
+	if c.now.CompareAndSwap(a, sealed()) {
+		_ = c.Close()
+	}
+}
+
+// settle closes a spoiled connection when the request a on it has ended.
+func (c *conn) settle(a *attempt) {
+	if c.bad.Load() {
+		c.spoil(a)
+	}
+}
--- /dev/null
+++ b/target/fake_test.go
@@ -0,0 +1,155 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// soon is how long a test waits for what must happen.
+const soon = 5 * time.Second
+
+// answer is a target that answers as the protocol says.
+func answer(w http.ResponseWriter, r *http.Request) {
+	for _, name := range []string{headerRequest, headerPartition, headerSnapshot} {
+		w.Header().Set(name, r.Header.Get(name))
+	}
+	w.Header().Set(headerIncarnation, "i1")
+	w.Header().Set(headerState, "warm")
+	_, _ = w.Write([]byte("part"))
+}
+
+// serve starts an HTTP target and returns its address.
+func serve(t testing.TB, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// raw starts a target that handles each connection by itself.
+func raw(t *testing.T, handle func(*net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close()
+		all.Wait()
+	})
+	all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			all.Go(func() {
+				defer func() { _ = c.Close() }()
+				if tcp, ok := c.(*net.TCPConn); ok {
+					handle(tcp)
+				}
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+// script returns a connection handler that reads one request and writes text.
+func script(text string) func(*net.TCPConn) {
+	return func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprint(c, text)
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// states records what OnState reports.
+type states struct {
+	mu   sync.Mutex
+	seen []State
+}
+
+func (s *states) add(_ magnoliashore.TargetID, state State) {
+	s.mu.Lock()
+	s.seen = append(s.seen, state)
+	s.mu.Unlock()
+}
+
+func (s *states) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprint(s.seen)
+}
+
+// eventually waits until got returns want.
+func eventually[T comparable](t *testing.T, what string, got func() T, want T) {
+	t.Helper()
+	for end := time.Now().Add(soon); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if got() == want {
+			return
+		}
+	}
+	t.Fatalf("%s: got %v, want %v", what, got(), want)
+}
+
+// rig is a pool with one open target.
+type rig struct {
+	pool   *Pool
+	target magnoliashore.Target
+	states *states
+}
+
+func newRig(t testing.TB, address string, conns int) *rig {
+	t.Helper()
+	s := &states{}
+	r := &rig{
+		pool:   &Pool{Clock: &timer.Service{}, UserTimeout: time.Second, OnState: s.add},
+		target: magnoliashore.NewTarget("t1", "look", "a", address),
+		states: s,
+	}
+	r.pool.Open(r.target, conns)
+	t.Cleanup(func() { r.pool.Close("t1") })
+	return r
+}
+
+func sub(within time.Duration) magnoliashore.Sub {
+	return magnoliashore.NewSub(magnoliashore.SubSpec{
+		ID: 7, Query: "q", Partition: "p1", Target: "t1", Snapshot: 3,
+		Deadline: time.Now().Add(within), Once: true, Body: []byte("{}"),
+	})
+}
+
+func (r *rig) send(ctx context.Context, s magnoliashore.Sub) magnoliashore.SubAnswer {
+	a, _ := r.pool.Send(ctx, s, r.target, time.Time{})
+	return a
+}
+
+func check(t *testing.T, a magnoliashore.SubAnswer, outcome magnoliashore.Outcome, reason magnoliashore.Reason) {
+	t.Helper()
+	got := fmt.Sprint(a.Outcome(), " ", a.Reason())
+	want := fmt.Sprint(outcome, " ", reason)
+	if got != want {
+		t.Errorf("outcome: got %q, want %q", got, want)
+	}
+	if a.Outcome() != magnoliashore.OutcomeRan && a.Body() != nil {
+		t.Errorf("body: got %q, want none", a.Body())
+	}
+}
--- /dev/null
+++ b/target/link.go
@@ -0,0 +1,81 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+const (
+	writeBuffer = 16 << 10 // bytes; a request up to this size is one write
+	headerLimit = 32 << 10 // bytes of reply headers
+)
+
+// link is the set of connections to one target at one address.
+type link struct {
+	target    magnoliashore.Target
+	conns     int
+	wait      time.Duration // how long a dial may take
+	dialer    net.Dialer
+	transport *http.Transport
+	watch     *watch
+	quota     *quota
+	retired   atomic.Bool
+}
+
+// newLink returns a link with no connection yet.
+func (p *Pool) newLink(t magnoliashore.Target, conns int, b *book) *link {
+	l := &link{
+		target: t,
+		conns:  conns,
+		wait:   p.dial(),
+		dialer: net.Dialer{Control: control(p.UserTimeout)},
+		watch:  &watch{notes: b.notes},
+		quota:  b.quota,
+	}
+	l.transport = &http.Transport{
+		DialContext:            l.dial,
+		DisableCompression:     true,
+		MaxConnsPerHost:        conns,
+		MaxIdleConnsPerHost:    conns,
+		MaxResponseHeaderBytes: headerLimit,
+		WriteBufferSize:        writeBuffer,
+	}
+	return l
+}
+
+// dial opens a connection inside the target's limit. The transport goes on
+// dialing when the request that caused it has ended.
+func (l *link) dial(ctx context.Context, network, _ string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.wait)
+	defer cancel()
+	if err := l.quota.take(ctx, l.conns); err != nil {
+		return nil, magnoliashore.Step(err, "wait for a connection", l.target.Address())
+	}
+	raw, err := l.dialer.DialContext(ctx, network, l.target.Address())
+	if err != nil {
+		l.quota.give()
+		return nil, magnoliashore.Step(err, "dial target", l.target.Address())
+	}
+	l.quota.opened()
+	l.watch.opened()
+	return &conn{Conn: raw, link: l}, nil
+}
+
+// retire ends new work; what runs may finish.
+func (l *link) retire() {
+	l.retired.Store(true)
+	l.watch.retire()
+	l.transport.CloseIdleConnections()
+}
+
+// release ends one use of the link.
+func (l *link) release() {
+	if l.retired.Load() {
+		l.transport.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/target/state.go
@@ -0,0 +1,126 @@
+package target
+
+import "sync"
+
+// State says whether a connection to a target stands.
+type State int
+
+// The states of a target.
+const (
+	// Down says that a connection broke or that none stands any more.
+	Down State = iota
+	// Up says that a connection stands.
+	Up
+)
+
+// String returns the state in one word.
+func (s State) String() string {
+	if s == Up {
+		return "up"
+	}
+	return "down"
+}
+
+// notes delivers the states of one target in order, one call at a time and
+// outside any lock.
+type notes struct {
+	report func(State)
+
+	mu      sync.Mutex
+	pending []State
+	busy    bool
+}
+
+// add queues states. They are delivered by deliver.
+func (n *notes) add(states ...State) {
+	n.mu.Lock()
+	n.pending = append(n.pending, states...)
+	n.mu.Unlock()
+}
+
+// deliver reports the queued states. If a delivery is under way, it is left to
+// that one.
+func (n *notes) deliver() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.busy {
+		return
+	}
+	n.busy = true
+	for len(n.pending) > 0 {
+		s := n.pending[0]
+		n.pending = n.pending[1:]
+		n.call(s)
+	}
+	n.busy = false
+}
+
+// call reports one state; n.mu is held, but not during the report.
+func (n *notes) call(s State) {
+	n.mu.Unlock()
+	defer n.mu.Lock()
+	n.report(s)
+}
+
+// watch counts the standing connections of one link.
+type watch struct {
+	notes *notes
+
+	mu      sync.Mutex
+	count   int
+	retired bool
+}
+
+// opened counts a new connection.
+func (w *watch) opened() {
+	w.change(1, func() []State {
+		if w.count == 1 {
+			return []State{Up}
+		}
+		return nil
+	})
+}
+
+// closed counts a connection that this process closed.
+func (w *watch) closed() {
+	w.change(-1, func() []State {
+		if w.count == 0 {
+			return []State{Down}
+		}
+		return nil
+	})
+}
+
+// broke counts a connection that broke. Where others stand, Up follows Down.
+func (w *watch) broke() {
+	w.change(-1, func() []State {
+		if w.count == 0 {
+			return []State{Down}
+		}
+		return []State{Down, Up}
+	})
+}
+
+// retire reports Down if a connection stands, and nothing afterwards.
+func (w *watch) retire() {
+	w.change(0, func() []State {
+		w.retired = true
+		if w.count > 0 {
+			return []State{Down}
+		}
+		return nil
+	})
+}
+
+// change adds d to the count and reports the states that follow from it.
+func (w *watch) change(d int, follow func() []State) {
+	w.mu.Lock()
+	silent := w.retired
+	w.count += d
+	states := follow()
+	if !silent {
+		w.notes.add(states...)
+	}
+	w.mu.Unlock()
+	w.notes.deliver()
+}
