feat: thin whole path in one process, and the command try

Change: package local runs a cell in this process, package try measures both users' shapes against the targets' ledgers.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -38,5 +38,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.cmd.AddCommand(
+		newTryCmd().cmd,
+	)
 	return root
 }
--- /dev/null
+++ b/cmd/try.go
@@ -0,0 +1,50 @@
+package cmd
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliashore/magnoliashore/try"
+)
+
+// tryBurst is the default length of the burst of queries.
+const tryBurst = 4 * time.Second
+
+type tryCmd struct {
+	cmd    *cobra.Command
+	output string
+	burst  time.Duration
+}
+
+func newTryCmd() *tryCmd {
+	c := &tryCmd{}
+	c.cmd = &cobra.Command{
+		Use:   "try",
+		Short: "run the main job on embedded stand-ins, and report",
+		Args:  cobra.NoArgs,
+		RunE:  c.run,
+	}
+	c.cmd.Flags().StringVarP(&c.output, "output", "o", outputText, "text or json")
+	c.cmd.Flags().DurationVar(&c.burst, "burst", tryBurst, "length of the burst of queries")
+	return c
+}
+
+func (c *tryCmd) run(cmd *cobra.Command, _ []string) error {
+	if err := checkOutput(c.output); err != nil {
+		return err
+	}
+	job := &try.Run{Progress: cmd.ErrOrStderr(), Burst: c.burst}
+	report, err := job.Run(cmd.Context())
+	if err != nil {
+		return err
+	}
+	if report.Answers() == 0 {
+		return errors.New("no query was answered")
+	}
+	if c.output == outputJSON {
+		return report.WriteJSON(cmd.OutOrStdout())
+	}
+	return report.WriteText(cmd.OutOrStdout())
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -66,7 +66,6 @@
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	lastKeep atomic.Int64 // when the last address answer was given, microseconds since 1970
-	ready    chan struct{}
 	setup    sync.Once
 	failed   error
 }
@@ -82,7 +81,6 @@
 
 func (h *Host) prepare(ctx context.Context) error {
 	now := h.Timer.Now()
-	h.ready = make(chan struct{})
 	h.incarnation = magnoliashore.Incarnation(now.UnixNano() / int64(incarnationUnit))
 	h.events = &event.Log{Clock: h.Timer, Host: h.Settings.Host, Size: eventLogSize, Logs: h.Log}
 	codec, err := peer.NewCodec(h.Timer)
@@ -169,12 +167,11 @@
 // of all other duties.
 func (h *Host) serveCallers(ctx context.Context, end func()) error {
 	defer end()
-	close(h.ready)
 	return h.callers.Run(ctx)
 }
 
-// Prepared is closed once Run serves.
-func (h *Host) Prepared() <-chan struct{} { return h.ready }
+// Listening is closed once the host accepts callers.
+func (h *Host) Listening() <-chan struct{} { return h.callers.Listening() }
 
 // CallerAddr returns the address towards callers once the host listens.
 func (h *Host) CallerAddr() string { return h.callers.Addr() }
@@ -191,6 +188,10 @@
 // Ready reports whether the host can answer queries.
 func (h *Host) Ready() bool { return h.config.ready() }
 
+// Leased reports whether the host holds a lease on every target that it owns,
+// so that it can send to cold ones.
+func (h *Host) Leased() bool { return h.control.holdsAll() }
+
 // Leaving reports whether the host is shutting down or was superseded.
 func (h *Host) Leaving() bool { return h.leaving.Load() }
 
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -113,3 +113,17 @@
 		c.host.emit(spec)
 	}
 }
+
+// holdsAll reports whether there is a placement and every owned target has a
+// lease.
+func (c *control) holdsAll() bool {
+	now := c.host.Timer.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.owned {
+		if _, holds := c.node.Until(now, lease.KeyOf(id)); !holds {
+			return false
+		}
+	}
+	return len(c.placed) > 0
+}
--- /dev/null
+++ b/local/cell.go
@@ -0,0 +1,244 @@
+// Package local provides a whole cell in one process on loopback: stand-ins
+// for the platform and the targets, and entry hosts. It serves the command
+// "try" and the tests.
+package local
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/caller/client"
+	"github.com/magnoliashore/magnoliashore/entry"
+	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/settings"
+	"github.com/magnoliashore/magnoliashore/standin"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// Loopback lets the system pick a free port of this machine.
+const Loopback = "127.0.0.1:0"
+
+// readyCheck is how often a starting cell looks whether its hosts are ready.
+const readyCheck = 10 * time.Millisecond
+
+// Cell is a whole cell in this process. Set the exported fields before Start.
+type Cell struct {
+	Shape    standin.Shape
+	Hosts    int                             // entry hosts, at most 9
+	Settings func(s *settings.Settings)      // changes the settings of each host; may be nil
+	Target   func(c *standin.TargetConfig)   // changes the configuration of each target; may be nil
+	Reach    func(id, address string) string // address under which a target is published; nil means its own
+	Log      log.Interface                   // logs of the entry hosts; nil discards them
+	platform *standin.Platform
+	fleet    *standin.Fleet
+	hosts    []*Host
+	clock    timer.Service
+	end      context.CancelFunc
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	failures []error
+}
+
+// Host is one entry host of the cell.
+type Host struct {
+	*entry.Host
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Stop begins the graceful stop of the host.
+func (h *Host) Stop() { h.stop() }
+
+// Done is closed when the host has stopped.
+func (h *Host) Done() <-chan struct{} { return h.done }
+
+// Start runs the stand-ins and the hosts, publishes the shape and waits until
+// every host is ready.
+func (c *Cell) Start(ctx context.Context) error {
+	ctx, c.end = context.WithCancel(ctx)
+	if err := c.startStandins(ctx); err != nil {
+		return err
+	}
+	for i := range c.Hosts {
+		if err := c.startHost(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := c.publish(); err != nil {
+		return err
+	}
+	return c.awaitReady(ctx)
+}
+
+func (c *Cell) startStandins(ctx context.Context) error {
+	c.platform = &standin.Platform{}
+	c.fleet = &standin.Fleet{}
+	for _, config := range c.Shape.Targets() {
+		if c.Target != nil {
+			c.Target(&config)
+		}
+		c.fleet.Targets = append(c.fleet.Targets, standin.NewTarget(config))
+	}
+	c.run("platform", func() error { return c.platform.Run(ctx) })
+	c.run("targets", func() error { return c.fleet.Run(ctx) })
+	for _, ready := range []<-chan struct{}{c.platform.Ready(), c.fleet.Ready()} {
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (c *Cell) run(name string, duty func() error) {
+	c.group.Add(1)
+	go func() {
+		defer c.group.Done()
+		if err := duty(); err != nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.failures = append(c.failures, magnoliashore.Step(err, "running", name))
+		}
+	}()
+}
+
+func (c *Cell) startHost(ctx context.Context, i int) error {
+	zones := c.Shape.Zones()
+	s := settings.Default()
+	s.Host = magnoliashore.HostID(fmt.Sprintf("e%d", i+1))
+	s.Zone = magnoliashore.ZoneName(zones[i%len(zones)])
+	s.Cell = c.Shape.Cell()
+	s.Caller = Loopback
+	s.Peer = Loopback
+	s.Platform = c.platform.Addr()
+	if c.Settings != nil {
+		c.Settings(&s)
+	}
+	logs := c.Log
+	if logs == nil {
+		logs = &log.Logger{Handler: discard.New()}
+	}
+	host := &entry.Host{
+		Settings: s,
+		Platform: &platform.Client{Address: s.Platform, HTTP: &http.Client{}, Wait: s.Config.Watch},
+		Timer:    &c.clock,
+		Log:      logs,
+	}
+	if err := host.Prepare(ctx); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	h := &Host{Host: host, stop: stop, done: make(chan struct{})}
+	c.hosts = append(c.hosts, h)
+	c.run(string(s.Host), func() error {
+		defer close(h.done)
+		return host.Run(ctx)
+	})
+	select {
+	case <-host.Listening():
+		return nil
+	case <-h.done:
+		return errors.Newf("entry host %s did not start", s.Host)
+	}
+}
+
+// publish publishes the table and the layout with the addresses in use.
+func (c *Cell) publish() error {
+	layout, err := platform.EncodeLayout(c.Layout())
+	if err != nil {
+		return err
+	}
+	c.platform.Publish(platform.TableKey(c.Shape.Cell()), c.Shape.Table())
+	c.platform.Publish(platform.LayoutKey(c.Shape.Cell()), layout)
+	return nil
+}
+
+// Layout returns the layout of the shape with the addresses in use.
+func (c *Cell) Layout() magnoliashore.Layout {
+	addresses := make(map[string]string, len(c.fleet.Targets))
+	for _, t := range c.fleet.Targets {
+		addresses[t.Config().ID] = t.Addr()
+	}
+	reach := func(id string) string {
+		if c.Reach == nil {
+			return addresses[id]
+		}
+		return c.Reach(id, addresses[id])
+	}
+	var seats []magnoliashore.Seat
+	for _, h := range c.hosts {
+		seats = append(seats, magnoliashore.NewSeat(
+			h.Settings.Host, h.Settings.Zone, h.PeerAddr(), h.CallerAddr()))
+	}
+	return c.Shape.Layout(reach, seats)
+}
+
+func (c *Cell) awaitReady(ctx context.Context) error {
+	tick := c.clock.Every(readyCheck)
+	defer tick.Stop()
+	for !c.ready() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return magnoliashore.Step(ctx.Err(), "waiting for the entry hosts", c.Shape.Cell())
+		}
+	}
+	return nil
+}
+
+func (c *Cell) ready() bool {
+	for _, h := range c.hosts {
+		if !h.Ready() || !h.Leased() {
+			return false
+		}
+	}
+	return true
+}
+
+// Platform returns the stand-in platform.
+func (c *Cell) Platform() *standin.Platform { return c.platform }
+
+// Targets returns the stand-in targets.
+func (c *Cell) Targets() []*standin.Target { return c.fleet.Targets }
+
+// Target returns the named stand-in target.
+func (c *Cell) TargetNamed(id magnoliashore.TargetID) (*standin.Target, bool) {
+	return c.fleet.Target(string(id))
+}
+
+// Entries returns the entry hosts in seat order.
+func (c *Cell) Entries() []*Host { return c.hosts }
+
+// Client returns a new client that knows every host's address.
+func (c *Cell) Client() *client.Client {
+	found := &client.Client{Clock: &c.clock}
+	for _, h := range c.hosts {
+		found.Seeds = append(found.Seeds, h.CallerAddr())
+	}
+	return found
+}
+
+// Stop ends the hosts gracefully, then the stand-ins, and returns what failed
+// on the way.
+func (c *Cell) Stop() error {
+	for _, h := range c.hosts {
+		h.Stop()
+	}
+	for _, h := range c.hosts {
+		<-h.Done()
+	}
+	c.end()
+	c.group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Join(c.failures...)
+}
