fix(standin): a stopped target leaves the rest of the fleet running

Cause: the loss of one target ended the whole fleet, so that half of the queries of 'try' met no listener. Ruled out: the entry hosts' routing, since every refusal said unreachable at all targets at once.

--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -118,12 +118,28 @@
 	}
 	f.announce(HostLive)
 	close(f.ready)
-	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-ended:
-		ended <- nil
-		return err
+	return f.awaitEnd(ctx, ended)
+}
+
+// awaitEnd returns when ctx ends or a target fails. A target that was stopped
+// leaves the others running.
+func (f *Fleet) awaitEnd(ctx context.Context, ended chan error) error {
+	stopped := 0
+	defer func() {
+		for range stopped {
+			ended <- nil
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-ended:
+			stopped++
+			if err != nil {
+				return err
+			}
+		}
 	}
 }
 
