test: belief in warmth

Cause: the belief decides how much a target bears and was untested. Ruled out: exported hooks for the tests; scripts of events reach every rule.

--- /dev/null
+++ b/warm/example_test.go
@@ -0,0 +1,30 @@
+package warm_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/warm"
+)
+
+func Example() {
+	now := time.Unix(1000, 0)
+	belief := warm.New(warm.Config{
+		Cold: 1, Slots: 2, Fresh: time.Second, Jump: 4, Sheds: 3, Steps: 2,
+	})
+	belief.Connected(now)
+	fmt.Println(belief.Limit(now), belief.Cold(now))
+
+	healthy := magnoliashore.Evidence{Healthy: true, Took: time.Millisecond}
+	belief.Learn(now, healthy)
+	belief.Learn(now, healthy)
+	fmt.Println(belief.Limit(now), belief.Cold(now))
+
+	later := now.Add(2 * time.Second)
+	fmt.Println(belief.Limit(later), belief.Cold(later), belief.Why())
+	// Output:
+	// 1 true
+	// 2 false
+	// 1 true stale
+}
