--- a/admit/offer.go
+++ b/admit/offer.go
@@ -22,49 +22,66 @@
 	if limit < 1 {
 		return magnoliashore.Refusal{Reason: magnoliashore.ReasonBusy, After: longestAfter}, false
 	}
-	c := f.class(job)
-	if over := f.over(c, limit, busy); over > 0 {
-		return f.refuseFull(c, over, limit), false
-	}
-	left := job.Deadline.Sub(now)
-	fl := c.flow(job)
-	it := f.store.take(now, job)
-	wait := f.times.wait(f.before(fl, it), limit, busy)
-	late := wait+f.times.one() > left
-	if left <= 0 || late && !f.idle(busy) {
-		f.store.discard(it)
-		return f.refuseLate(wait, left, limit, busy), false
+	r := f.request(now, job, limit, busy)
+	over := f.over(r)
+	if over > 0 {
+		return f.refuse(r, magnoliashore.ReasonBusy, f.drained(r, over)), false
+	}
+	late := f.wait(r)+f.times.one() > r.left
+	if r.left <= 0 || late && !f.idle(busy) {
+		return f.refuse(r, magnoliashore.ReasonDeadline, 0), false
 	}
 	if late {
 		// The estimate is not trusted here, so Expired must not apply it.
-		it.expiry.key += int64(f.times.least())
+		r.item.expiry.key += int64(f.times.least())
 	}
-	f.add(c, fl, it)
+	f.add(r)
 	return magnoliashore.Refusal{}, true
 }
 
-// add queues the item.
-func (f *Fair) add(c *class, fl *flow, it *item) {
+// request is a job that is being offered.
+type request struct {
+	item  *item
+	flow  *flow
+	left  time.Duration // time until the deadline
+	limit int
+	busy  int
+}
+
+func (f *Fair) request(now time.Time, job magnoliashore.Job, limit, busy int) request {
+	return request{
+		item:  f.store.take(now, job),
+		flow:  f.class(job).flow(job),
+		left:  job.Deadline.Sub(now),
+		limit: limit,
+		busy:  max(busy, 0),
+	}
+}
+
+// add queues the job.
+func (f *Fair) add(r request) {
+	c := r.flow.class
 	if c.waiting == 0 {
 		c.pass = c.start(f.virtual)
 	}
-	c.add(fl, it)
-	f.store.add(it)
+	c.add(r.flow, r.item)
+	f.store.add(r.item)
 }
 
 // idle reports whether nothing waits or runs.
 func (f *Fair) idle(busy int) bool { return busy <= 0 && f.store.len() == 0 }
 
-// over returns how many jobs must leave before the class has room for one; it
-// is not positive if there is room.
-func (f *Fair) over(c *class, limit, busy int) int {
-	startable := max(limit-busy, 0)
-	over := f.store.len() + 1 - startable - f.size
+// over returns how many jobs must leave before the job's class has room for
+// it; it is not positive if there is room.
+func (f *Fair) over(r request) int {
+	rank := r.flow.class.rank
+	startable := max(r.limit-r.busy, 0)
 	below := 0
-	for _, lower := range f.classes[c.rank:] {
+	for _, lower := range f.classes[rank:] {
 		below += lower.waiting
 	}
-	return max(over, below+1-startable-f.quota(c.rank))
+	over := max(f.store.len()-f.size, below-f.quota(rank))
+	return over + 1 - startable
 }
 
 // quota returns how many places of the size a class may use together with the
@@ -83,6 +100,11 @@
 	}
 }
 
+// wait returns the expected time until the job starts if it is queued now.
+func (f *Fair) wait(r request) time.Duration {
+	return f.times.wait(f.before(r.flow, r.item), r.limit, r.busy)
+}
+
 // before returns how many queued jobs are served before the item, which is not
 // queued yet, if none arrives after it.
 func (f *Fair) before(fl *flow, it *item) int {
@@ -102,40 +124,64 @@
 	return count
 }
 
-// refuseFull returns the refusal of a class that has room once the given
-// number of jobs has left it or the classes below.
-func (f *Fair) refuseFull(c *class, over, limit int) magnoliashore.Refusal {
-	jobs := over + f.above(c, over)
-	return magnoliashore.Refusal{Reason: magnoliashore.ReasonBusy, After: bound(f.times.drain(jobs, limit))}
-}
-
-// above returns how many jobs of the classes above c are served before the
-// next jobs of c and the classes below.
-func (f *Fair) above(c *class, jobs int) int {
+// drained returns how long it takes until over jobs have left the job's class
+// and the classes below it. It looks at the class among them that is next.
+func (f *Fair) drained(r request, over int) time.Duration {
+	rank := r.flow.class.rank
 	var next *class
-	for _, lower := range f.classes[c.rank:] {
+	for _, lower := range f.classes[rank:] {
 		if lower.waiting > 0 && (next == nil || lower.pass < next.pass) {
 			next = lower
 		}
 	}
 	if next == nil {
-		return 0
+		return f.times.drain(over, r.limit)
 	}
-	at := next.pass + int64(jobs-1)*next.stride
-	count := 0
-	for _, upper := range f.classes[:c.rank] {
-		count += upper.share.before(at, upper.waiting, true)
+	at := next.pass + int64(over-1)*next.stride
+	jobs := over
+	for _, upper := range f.classes[:rank] {
+		jobs += upper.share.before(at, upper.waiting, true)
 	}
-	return count
+	return f.times.drain(jobs, r.limit)
+}
+
+// refuse gives the request up and returns its refusal. from is the earliest
+// time after which there can be room.
+func (f *Fair) refuse(r request, reason magnoliashore.Reason, from time.Duration) magnoliashore.Refusal {
+	after := f.after(r, from)
+	f.store.discard(r.item)
+	return magnoliashore.Refusal{Reason: reason, After: bound(after)}
+}
+
+// after returns how long until a job with as much time left would fit, from or
+// later. It counts the job as the last of its class: such a place is kept while
+// the queue drains, whereas a place ahead of waiting jobs of the class is not.
+// A job that fits only if it finds a free slot can come back once the target is
+// idle.
+func (f *Fair) after(r request, from time.Duration) time.Duration {
+	least := f.times.one() + f.times.drain(1, r.limit)
+	if least > r.left {
+		return max(from, f.times.drain(f.store.len()+r.busy, r.limit))
+	}
+	wait := f.times.wait(f.beforeLast(r.flow.class), r.limit, r.busy)
+	return max(from, wait+f.times.one()-r.left)
 }
 
-// refuseLate returns the refusal of a job that has the time left and would wait
-// longer. If it does not fit even without a wait, it may come back once the
-// target is idle.
-func (f *Fair) refuseLate(wait, left time.Duration, limit, busy int) magnoliashore.Refusal {
-	after := wait + f.times.one() - left
-	if f.times.one() > left {
-		after = f.times.drain(f.store.len()+busy, limit)
-	}
-	return magnoliashore.Refusal{Reason: magnoliashore.ReasonDeadline, After: bound(after)}
+// beforeLast returns how many queued jobs are served before one that is added
+// as the last of c. For an idle class, the other classes count at least one
+// each.
+func (f *Fair) beforeLast(c *class) int {
+	at := max(c.pass, f.virtual) + int64(c.waiting)*c.stride
+	count := c.waiting
+	for _, other := range f.classes {
+		if other == c {
+			continue
+		}
+		turns := other.share.before(at, other.waiting, true)
+		if c.waiting == 0 {
+			turns = max(turns, min(other.waiting, 1))
+		}
+		count += turns
+	}
+	return count
 }
