--- a/caller/client/idempotent.go
+++ b/caller/client/idempotent.go
@@ -20,7 +20,7 @@
 		}
 		last := i == len(a.order)-1
 		if got.err == nil && (last || left == 0 || !elsewhere(got.answer)) {
-			return got.answer, nil
+			return a.settle(got.answer), nil
 		}
 		a.note(got)
 		if !got.sent {
@@ -34,6 +34,22 @@
 	return a.end()
 }
 
+// settle returns the answer, or, if it says that the query did not run while
+// an earlier send may have, one that says so.
+func (a *attempts) settle(answer magnoliashore.Answer) magnoliashore.Answer {
+	if !a.maybe || answer.Outcome() != magnoliashore.OutcomeNotRun {
+		return answer
+	}
+	return magnoliashore.NewAnswer(magnoliashore.AnswerSpec{
+		Query:   answer.Query(),
+		Outcome: magnoliashore.OutcomeUnknown,
+		Reason:  answer.Reason(),
+		Detail:  "an earlier send may have run; the last was refused: " + answer.Detail(),
+		After:   answer.After(),
+		Host:    answer.Host(),
+	})
+}
+
 func (a *attempts) retries() int {
 	switch {
 	case a.client.Retry < 0:
