--- a/caller/client/attempts.go
+++ b/caller/client/attempts.go
@@ -29,9 +29,6 @@
 }
 
 func (a *attempts) run(ctx context.Context) (magnoliashore.Answer, error) {
-	if a.request.ID == "" {
-		a.request.ID = magnoliashore.QueryID(randomID())
-	}
 	if a.request.Once {
 		first := a.order[0]
 		a.ticket = magnoliashore.NewTicket(first.Host(), first.Incarnation(), first.Epoch(), randomID())
--- a/caller/client/client.go
+++ b/caller/client/client.go
@@ -58,6 +58,9 @@
 // and the outcome what is known then. When ctx ends, the query is cancelled.
 func (c *Client) Query(ctx context.Context, request Request) (magnoliashore.Answer, error) {
 	c.once.Do(c.prepare)
+	if request.ID == "" {
+		request.ID = magnoliashore.QueryID(randomID())
+	}
 	deadline, stated := c.deadline(ctx, request)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -38,5 +38,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.cmd.AddCommand(newInitCmd().cmd)
+	root.cmd.AddCommand(newCheckCmd().cmd)
+	root.cmd.AddCommand(newTableCmd().cmd)
+	root.cmd.AddCommand(newQueryCmd().cmd)
+	root.cmd.AddCommand(newTimelineCmd().cmd)
 	return root
 }
--- /dev/null
+++ b/cmd/table.go
@@ -0,0 +1,35 @@
+package cmd
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/operator"
+)
+
+type tableCmd struct {
+	cmd *cobra.Command
+}
+
+func newTableCmd() *tableCmd {
+	c := &tableCmd{}
+	c.cmd = &cobra.Command{
+		Use:   "table",
+		Short: "Checks, shows and compares operators' tables",
+		Args:  cobra.NoArgs,
+	}
+	c.cmd.AddCommand(newTableCheckCmd().cmd, newTableShowCmd().cmd, newTableDiffCmd().cmd)
+	return c
+}
+
+// readTable reads the table in a file, which has no published version.
+func readTable(path string) (magnoliashore.Table, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return magnoliashore.Table{}, magnoliashore.Step(err, "read table", path)
+	}
+	table, err := operator.DecodeTable(0, data)
+	return table, magnoliashore.Step(err, "check", path)
+}
--- a/operator/pages.go
+++ b/operator/pages.go
@@ -64,7 +64,7 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	data, err := EncodeStatus(s.Status())
+	data, err := EncodeStatus(s.Status(), s.Clock.Now())
 	show(w, typeJSON, data, err)
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -25,7 +25,7 @@
 // the functions are called from many goroutines.
 type Server struct {
 	Address string                       // "ip:port" to listen on
-	Clock   magnoliashore.Clock          // nil is allowed
+	Clock   magnoliashore.Clock          // dates the status
 	Events  func() []magnoliashore.Event // kept events, the oldest first
 	Ready   func() bool                  // whether the host can answer queries
 	Leaving func() bool                  // whether the host is shutting down
--- a/operator/statuscodec.go
+++ b/operator/statuscodec.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/magnoliashore/magnoliashore"
 )
 
 // statusMessage is a status in JSON.
 type statusMessage struct {
+	At          string         `json:"at"` // RFC 3339 with nanoseconds, UTC
 	Host        string         `json:"host"`
 	Incarnation uint64         `json:"incarnation"`
 	Table       uint64         `json:"table"`
@@ -27,9 +29,11 @@
 	Left   int64  `json:"left"` // milliseconds
 }
 
-// EncodeStatus writes a status as JSON, times in whole milliseconds.
-func EncodeStatus(s Status) ([]byte, error) {
+// EncodeStatus writes a status as JSON, with the wall clock time at which it
+// was taken; times left are in whole milliseconds.
+func EncodeStatus(s Status, at time.Time) ([]byte, error) {
 	message := statusMessage{
+		At:          at.UTC().Format(time.RFC3339Nano),
 		Host:        string(s.Host()),
 		Incarnation: uint64(s.Incarnation()),
 		Table:       uint64(s.Table()),
--- a/operator/timeline.go
+++ b/operator/timeline.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"text/tabwriter"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/event"
@@ -60,20 +59,12 @@
 
 // RenderEvents writes events as a table for a person, one a line.
 func RenderEvents(w io.Writer, events []magnoliashore.Event) error {
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	table := newTabWriter(w)
 	fmt.Fprintln(table, "ORDER\tTIME\tHOST\tCODE\tEVENT\tQUERY\tTARGET\tPEER\tDETAIL")
 	for _, e := range events {
 		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n",
-			e.Order(), e.At().UTC().Format(timeFormat), e.Host(), e.Code(), event.Name(e.Code()),
-			mark(string(e.Query())), mark(string(e.Target())), mark(e.Peer()), e.Detail())
+			e.Order(), e.At().UTC().Format(timeFormat), mark(string(e.Host())), e.Code(), event.Name(e.Code()),
+			mark(string(e.Query())), mark(string(e.Target())), mark(e.Peer()), mark(e.Detail()))
 	}
 	return magnoliashore.Step(table.Flush(), "render events", "")
 }
-
-// mark fills an empty column.
-func mark(text string) string {
-	if text == "" {
-		return "-"
-	}
-	return text
-}
