--- a/caller/client/send.go
+++ b/caller/client/send.go
@@ -41,12 +41,16 @@
 	if err != nil {
 		return result{sent: sent.Load(), err: magnoliashore.Step(err, "send query", address)}
 	}
-	answer, err := readAnswer(reply)
+	data, err := readReply(reply)
+	if err != nil {
+		return result{sent: true, err: magnoliashore.Step(err, "read answer", address)}
+	}
+	answer, err := decodeAnswer(reply, data)
 	return result{
 		answer:  answer,
 		sent:    true,
 		leaving: reply.Header.Get(wire.HeaderLeaving) != "",
-		err:     magnoliashore.Step(err, "read answer", address),
+		err:     magnoliashore.Step(err, "decode answer", address),
 	}
 }
 
@@ -77,11 +81,7 @@
 	return request, nil
 }
 
-func readAnswer(reply *http.Response) (magnoliashore.Answer, error) {
-	data, err := readReply(reply)
-	if err != nil {
-		return magnoliashore.Answer{}, err
-	}
+func decodeAnswer(reply *http.Response, data []byte) (magnoliashore.Answer, error) {
 	format, ok := wire.ParseContentType(reply.Header.Get("Content-Type"))
 	if !ok {
 		return magnoliashore.Answer{}, errors.Newf("HTTP status %d with content type %q",
--- a/cmd/query_answer.go
+++ b/cmd/query_answer.go
@@ -11,6 +11,9 @@
 	"github.com/magnoliashore/magnoliashore/caller/wire"
 )
 
+// columnSpace is the number of spaces between columns of text.
+const columnSpace = 2
+
 // writeAnswer writes an answer as JSON, as callers get it, or as text.
 func writeAnswer(w io.Writer, answer magnoliashore.Answer, asJSON bool) error {
 	if !asJSON {
@@ -29,7 +32,7 @@
 }
 
 func writeAnswerText(w io.Writer, answer magnoliashore.Answer) error {
-	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	out := &bytes.Buffer{}
 	coverage := answer.Coverage()
 	fmt.Fprintf(out, "query\t%s\n", answer.Query())
 	fmt.Fprintf(out, "outcome\t%s\n", answer.Outcome())
@@ -46,23 +49,27 @@
 	fmt.Fprintf(out, "coverage\t%d of %d\n", coverage.Covered(), coverage.Total())
 	writeCoverage(out, coverage)
 	writeResults(out, answer)
-	return out.Flush()
+	columns := tabwriter.NewWriter(w, 0, 0, columnSpace, ' ', 0)
+	if _, err := out.WriteTo(columns); err != nil {
+		return err
+	}
+	return columns.Flush()
 }
 
-func writeCoverage(w io.Writer, coverage magnoliashore.Coverage) {
+func writeCoverage(out *bytes.Buffer, coverage magnoliashore.Coverage) {
 	for _, z := range coverage.Zones() {
-		fmt.Fprintf(w, "zone\t%s\t%d of %d\n", z.Zone(), z.Covered(), z.Total())
+		fmt.Fprintf(out, "zone\t%s\t%d of %d\n", z.Zone(), z.Covered(), z.Total())
 	}
 	for _, m := range coverage.Missing() {
-		fmt.Fprintf(w, "missing\t%s\t%s\n", m.Partition(), m.Reason())
+		fmt.Fprintf(out, "missing\t%s\t%s\n", m.Partition(), m.Reason())
 	}
 }
 
-func writeResults(w io.Writer, answer magnoliashore.Answer) {
+func writeResults(out *bytes.Buffer, answer magnoliashore.Answer) {
 	for _, p := range answer.Parts() {
-		fmt.Fprintf(w, "part\t%s\t%s\t%q\n", p.Partition(), p.Target(), p.Body())
+		fmt.Fprintf(out, "part\t%s\t%s\t%q\n", p.Partition(), p.Target(), p.Body())
 	}
 	for _, i := range answer.Items() {
-		fmt.Fprintf(w, "item\t%s\t%g\t%s\n", i.Partition(), i.Score(), i.Body())
+		fmt.Fprintf(out, "item\t%s\t%g\t%s\n", i.Partition(), i.Score(), i.Body())
 	}
 }
--- a/operator/render.go
+++ b/operator/render.go
@@ -1,8 +1,8 @@
 package operator
 
 import (
+	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"strings"
 	"text/tabwriter"
@@ -11,18 +11,16 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
+// gridSpace is the number of spaces between columns.
+const gridSpace = 2
+
 // RenderTable writes the operators' table in aligned columns for a person.
 func RenderTable(w io.Writer, table magnoliashore.Table) error {
-	out := newTabWriter(w)
-	fmt.Fprintln(out, strings.ToUpper(strings.Join(columns(), "\t")))
+	rows := [][]string{columns()}
 	for _, row := range tableRows(table) {
-		values := make([]string, 0, len(columns()))
-		for _, value := range record(row) {
-			values = append(values, mark(value))
-		}
-		fmt.Fprintln(out, strings.Join(values, "\t"))
+		rows = append(rows, record(row))
 	}
-	return magnoliashore.Step(out.Flush(), "render table", "")
+	return magnoliashore.Step(writeGrid(w, rows), "render table", "")
 }
 
 // RenderTableJSON writes the operators' table as a JSON list with an object a
@@ -51,12 +49,11 @@
 
 // RenderChanges writes changes for a person, one a line.
 func RenderChanges(w io.Writer, changes []Change) error {
-	out := newTabWriter(w)
-	fmt.Fprintln(out, "ROW\tCOLUMN\tBEFORE\tAFTER")
+	rows := [][]string{{"row", "column", "before", "after"}}
 	for _, c := range changes {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\n", c.Row(), c.Column(), mark(c.Before()), mark(c.After()))
+		rows = append(rows, []string{c.Row(), c.Column(), c.Before(), c.After()})
 	}
-	return magnoliashore.Step(out.Flush(), "render changes", "")
+	return magnoliashore.Step(writeGrid(w, rows), "render changes", "")
 }
 
 // RenderChangesJSON writes changes as a JSON list.
@@ -74,8 +71,26 @@
 	return magnoliashore.Step(encoder.Encode(value), step, "")
 }
 
-func newTabWriter(w io.Writer) *tabwriter.Writer {
-	return tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+// writeGrid writes rows in aligned columns, the first one as the heading.
+func writeGrid(w io.Writer, rows [][]string) error {
+	var text bytes.Buffer
+	for i, row := range rows {
+		for column, value := range row {
+			if i == 0 {
+				value = strings.ToUpper(value)
+			}
+			if column > 0 {
+				text.WriteByte('\t')
+			}
+			text.WriteString(mark(value))
+		}
+		text.WriteByte('\n')
+	}
+	out := tabwriter.NewWriter(w, 0, 0, gridSpace, ' ', 0)
+	if _, err := text.WriteTo(out); err != nil {
+		return err
+	}
+	return out.Flush()
 }
 
 // mark returns text for one column of a rendering: a dash if it is empty, and
--- a/operator/timeline.go
+++ b/operator/timeline.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"fmt"
 	"io"
 	"slices"
+	"strconv"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/event"
@@ -59,12 +59,13 @@
 
 // RenderEvents writes events as a table for a person, one a line.
 func RenderEvents(w io.Writer, events []magnoliashore.Event) error {
-	table := newTabWriter(w)
-	fmt.Fprintln(table, "ORDER\tTIME\tHOST\tCODE\tEVENT\tQUERY\tTARGET\tPEER\tDETAIL")
+	rows := [][]string{{"order", "time", "host", "code", "event", "query", "target", "peer", "detail"}}
 	for _, e := range events {
-		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n",
-			e.Order(), e.At().UTC().Format(timeFormat), mark(string(e.Host())), e.Code(), event.Name(e.Code()),
-			mark(string(e.Query())), mark(string(e.Target())), mark(e.Peer()), mark(e.Detail()))
+		rows = append(rows, []string{
+			strconv.FormatUint(e.Order(), 10), e.At().UTC().Format(timeFormat), string(e.Host()),
+			strconv.Itoa(int(e.Code())), event.Name(e.Code()),
+			string(e.Query()), string(e.Target()), e.Peer(), e.Detail(),
+		})
 	}
-	return magnoliashore.Step(table.Flush(), "render events", "")
+	return magnoliashore.Step(writeGrid(w, rows), "render events", "")
 }
