--- a/cmd/root.go
+++ b/cmd/root.go
@@ -39,6 +39,12 @@
 		SilenceErrors: true,
 	}
 	root.cmd.AddCommand(
+		newCheckCmd().cmd,
+		newInitCmd().cmd,
+		newQueryCmd().cmd,
+		newServeCmd().cmd,
+		newTableCmd().cmd,
+		newTimelineCmd().cmd,
 		newTryCmd().cmd,
 	)
 	return root
--- a/cmd/try.go
+++ b/cmd/try.go
@@ -14,7 +14,7 @@
 
 type tryCmd struct {
 	cmd    *cobra.Command
-	output string
+	output outputOption
 	burst  time.Duration
 }
 
@@ -26,13 +26,14 @@
 		Args:  cobra.NoArgs,
 		RunE:  c.run,
 	}
-	c.cmd.Flags().StringVarP(&c.output, "output", "o", outputText, "text or json")
+	c.output.add(c.cmd)
 	c.cmd.Flags().DurationVar(&c.burst, "burst", tryBurst, "length of the burst of queries")
 	return c
 }
 
 func (c *tryCmd) run(cmd *cobra.Command, _ []string) error {
-	if err := checkOutput(c.output); err != nil {
+	asJSON, err := c.output.json()
+	if err != nil {
 		return err
 	}
 	job := &try.Run{Progress: cmd.ErrOrStderr(), Burst: c.burst}
@@ -43,7 +44,7 @@
 	if report.Answers() == 0 {
 		return errors.New("no query was answered")
 	}
-	if c.output == outputJSON {
+	if asJSON {
 		return report.WriteJSON(cmd.OutOrStdout())
 	}
 	return report.WriteText(cmd.OutOrStdout())
--- a/entry/control.go
+++ b/entry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -159,7 +160,7 @@
 	if len(seats) > 0 {
 		return wanted
 	}
-	for _, address := range c.host.Settings.Seeds {
+	for _, address := range strings.Fields(c.host.Settings.Seeds) {
 		wanted[address] = magnoliashore.NewSeat("", "", address, "")
 	}
 	return wanted
--- a/entry/host.go
+++ b/entry/host.go
@@ -153,23 +153,21 @@
 	group.Go(func() error { return h.peers.Run(life) })
 	group.Go(func() error { return h.config.run(life) })
 	group.Go(func() error { return h.control.run(life) })
-	group.Go(func() error { return h.serveCallers(serving, end) })
+	group.Go(func() error { return h.callers.Run(serving) })
+	if h.Settings.Operator != "" {
+		group.Go(func() error { return newPages(h).Run(life) })
+	}
 	group.Go(func() error {
+		defer end()
 		h.leaveAfter(ctx, life, stopServing)
 		return nil
 	})
 	err := group.Wait()
+	h.workers.wait()
 	h.emit(magnoliashore.EventSpec{Code: event.Stopped})
 	return err
 }
 
-// serveCallers serves until the graceful stop is through, then ends the life
-// of all other duties.
-func (h *Host) serveCallers(ctx context.Context, end func()) error {
-	defer end()
-	return h.callers.Run(ctx)
-}
-
 // Listening is closed once the host accepts callers.
 func (h *Host) Listening() <-chan struct{} { return h.callers.Listening() }
 
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,5 +53,5 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("magnoliashore_refusals_total{reason=%q}", string(reason))).Inc()
 }
 
-// WriteMetrics writes the host's metrics in the Prometheus text format.
-func (h *Host) WriteMetrics(w io.Writer) { h.meters.set.WritePrometheus(w) }
+// Metrics returns the host's metrics, after Prepare.
+func (h *Host) Metrics() *metrics.Set { return h.meters.set }
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -15,8 +15,9 @@
 	life context.Context
 	load atomic.Int64 // sub-requests waiting or running
 
-	mu   sync.RWMutex
-	list map[magnoliashore.TargetID]*worker
+	duties sync.WaitGroup
+	mu     sync.RWMutex
+	list   map[magnoliashore.TargetID]*worker
 }
 
 func newWorkers(h *Host) *workers {
@@ -28,6 +29,9 @@
 // busy returns how many sub-requests wait or run.
 func (w *workers) busy() int { return int(w.load.Load()) }
 
+// wait returns when every duty has ended.
+func (w *workers) wait() { w.duties.Wait() }
+
 // submit hands sub to the duty of its target. reply is called once unless the
 // returned function withdraws the sub-request first.
 func (w *workers) submit(sub magnoliashore.Sub, reply func(magnoliashore.SubAnswer)) func() {
@@ -68,7 +72,8 @@
 	defer w.mu.Unlock()
 	if w.list[id] == nil {
 		w.list[id] = newWorker(w.host, t, row)
-		go w.list[id].run(w.life)
+		duty := w.list[id]
+		w.duties.Go(func() { duty.run(w.life) })
 	}
 	return w.list[id], magnoliashore.ReasonNone
 }
--- /dev/null
+++ b/operator/render.go
@@ -0,0 +1,108 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+// gridSpace is the number of spaces between columns.
+const gridSpace = 2
+
+// RenderTable writes the operators' table in aligned columns for a person.
+func RenderTable(w io.Writer, table magnoliashore.Table) error {
+	rows := [][]string{columns()}
+	for _, row := range tableRows(table) {
+		rows = append(rows, record(row))
+	}
+	return magnoliashore.Step(writeGrid(w, rows), "render table", "")
+}
+
+// RenderTableJSON writes the operators' table as a JSON list with an object a
+// row, whose values are text as in the CSV; empty cells are left out.
+func RenderTableJSON(w io.Writer, table magnoliashore.Table) error {
+	rows := make([]map[string]string, 0, len(table.Zones())+len(table.Services()))
+	for _, row := range tableRows(table) {
+		filled := make(map[string]string, len(row))
+		for column, value := range row {
+			if value != "" {
+				filled[column] = value
+			}
+		}
+		rows = append(rows, filled)
+	}
+	return writeJSON(w, rows, "render table")
+}
+
+// changeMessage is a change in JSON.
+type changeMessage struct {
+	Row    string `json:"row"`
+	Column string `json:"column"`
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+// RenderChanges writes changes for a person, one a line.
+func RenderChanges(w io.Writer, changes []Change) error {
+	rows := [][]string{{"row", "column", "before", "after"}}
+	for _, c := range changes {
+		rows = append(rows, []string{c.Row(), c.Column(), c.Before(), c.After()})
+	}
+	return magnoliashore.Step(writeGrid(w, rows), "render changes", "")
+}
+
+// RenderChangesJSON writes changes as a JSON list.
+func RenderChangesJSON(w io.Writer, changes []Change) error {
+	list := make([]changeMessage, 0, len(changes))
+	for _, c := range changes {
+		list = append(list, changeMessage{Row: c.Row(), Column: c.Column(), Before: c.Before(), After: c.After()})
+	}
+	return writeJSON(w, list, "render changes")
+}
+
+func writeJSON(w io.Writer, value any, step string) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return magnoliashore.Step(encoder.Encode(value), step, "")
+}
+
+// writeGrid writes rows in aligned columns, the first one as the heading.
+func writeGrid(w io.Writer, rows [][]string) error {
+	var text bytes.Buffer
+	for i, row := range rows {
+		for column, value := range row {
+			if i == 0 {
+				value = strings.ToUpper(value)
+			}
+			if column > 0 {
+				text.WriteByte('\t')
+			}
+			text.WriteString(mark(value))
+		}
+		text.WriteByte('\n')
+	}
+	out := tabwriter.NewWriter(w, 0, 0, gridSpace, ' ', 0)
+	if _, err := text.WriteTo(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// mark returns text for one column of a rendering: a dash if it is empty, and
+// control characters, which could disturb a terminal, as spaces.
+func mark(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return ' '
+		}
+		return r
+	}, text)
+}
--- /dev/null
+++ b/operator/statuscodec.go
@@ -0,0 +1,56 @@
+package operator
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+// statusMessage is a status in JSON.
+type statusMessage struct {
+	At          string         `json:"at"` // RFC 3339 with nanoseconds, UTC
+	Host        string         `json:"host"`
+	Incarnation uint64         `json:"incarnation"`
+	Table       uint64         `json:"table"`
+	Layout      uint64         `json:"layout"`
+	Seats       []seatMessage  `json:"seats"`
+	Leases      []leaseMessage `json:"leases"`
+}
+
+type seatMessage struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+	Reached     bool   `json:"reached"`
+}
+
+type leaseMessage struct {
+	Target string `json:"target"`
+	Left   int64  `json:"left"` // milliseconds
+}
+
+// EncodeStatus writes a status as JSON, with the wall clock time at which it
+// was taken; times left are in whole milliseconds.
+func EncodeStatus(s Status, at time.Time) ([]byte, error) {
+	message := statusMessage{
+		At:          at.UTC().Format(time.RFC3339Nano),
+		Host:        string(s.Host()),
+		Incarnation: uint64(s.Incarnation()),
+		Table:       uint64(s.Table()),
+		Layout:      uint64(s.Layout()),
+		Seats:       make([]seatMessage, 0, len(s.Seats())),
+		Leases:      make([]leaseMessage, 0, len(s.Leases())),
+	}
+	for _, seat := range s.Seats() {
+		message.Seats = append(message.Seats, seatMessage{
+			Host: string(seat.Host()), Incarnation: uint64(seat.Incarnation()), Reached: seat.Reached(),
+		})
+	}
+	for _, lease := range s.Leases() {
+		message.Leases = append(message.Leases, leaseMessage{
+			Target: string(lease.Target()), Left: lease.Left().Milliseconds(),
+		})
+	}
+	data, err := json.MarshalIndent(message, "", "  ")
+	return append(data, '\n'), magnoliashore.Step(err, "encode status", "")
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -69,6 +69,9 @@
 	c.address("peer", s.Peer)
 	c.address("operator", s.Operator)
 	c.address("platform", s.Platform)
+	for _, seed := range strings.Fields(s.Seeds) {
+		c.address("seeds", seed)
+	}
 	c.different("caller", s.Caller, "peer", s.Peer)
 	c.different("caller", s.Caller, "operator", s.Operator)
 	c.different("peer", s.Peer, "operator", s.Operator)
