fix: no work on a belief whose connection has broken; age of waiting messages

Cause: a replaced target could get several requests on new connections before the break of the old ones was taken in; a batch that lay in the socket of a frozen owner looked fresh when it woke. Change: connection changes are absorbed before every decision, and at most one request needs a new connection; heartbeats teach how old messages appear, so that clocks that differ do no harm. try warms the targets first.

--- a/entry/host.go
+++ b/entry/host.go
@@ -32,7 +32,7 @@
 	targetTimeout   = 80 * time.Millisecond // TCP_USER_TIMEOUT towards targets, below the lease margin
 	clockSkew       = 20 * time.Millisecond // taken off the absolute deadline that targets see
 	budgetBurst     = 100                   // extra sub-requests that may be saved up
-	hedgeLeast      = 64                    // samples before a delay is learnt
+	hedgeLeast      = 20                    // samples before a delay is learnt
 	hedgeFloor      = time.Millisecond      // lowest hedging delay
 	answerTotal     = 64 << 20              // bytes of final answers that the ledger keeps
 	incarnationUnit = time.Millisecond
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -133,14 +133,17 @@
 			w.finishRunning(ctx)
 			return
 		case message := <-w.inbox.Items():
+			w.absorb()
 			w.take(ctx, message)
 		case message := <-w.done:
+			w.absorb()
 			w.take(ctx, message)
 		case <-w.signal:
 			w.follow()
 		case <-sweeps:
 			sweep, sweeps = nil, nil
 		}
+		w.absorb()
 		w.expire()
 		w.dispatch(ctx)
 	}
@@ -159,12 +162,16 @@
 	}
 }
 
-// follow takes in changes of the connection, the row and the address.
-func (w *worker) follow() {
+// absorb takes in changes of the connections. It runs before every decision,
+// so that no work is sent on a belief whose connection has broken.
+func (w *worker) absorb() {
 	w.linkMu.Lock()
 	changes := w.links
 	w.links = nil
 	w.linkMu.Unlock()
+	if len(changes) == 0 {
+		return
+	}
 	now := w.host.Timer.Now()
 	for _, up := range changes {
 		if up {
@@ -174,6 +181,10 @@
 		}
 	}
 	w.reportWarmth(now)
+}
+
+// follow takes in changes of the row and the address.
+func (w *worker) follow() {
 	view := w.host.view()
 	t, ok := view.Layout().Target(w.target.ID())
 	if !ok {
@@ -235,9 +246,12 @@
 	w.jobs[j.id] = j
 }
 
-// limit returns how many requests this host may run on the target now.
+// limit returns how many requests this host may run on the target now. At
+// most one of them needs a new connection: if the target was replaced and the
+// break of the old connections is not seen yet, the new process gets one.
 func (w *worker) limit(now time.Time) int {
-	return w.host.control.ownership.Share(now, w.target.ID(), w.belief.Limit(now))
+	limit := min(w.belief.Limit(now), w.host.pool.Conns(w.target.ID())+1)
+	return w.host.control.ownership.Share(now, w.target.ID(), limit)
 }
 
 // permitted reports whether work may start now: on a cold target only under a
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -30,10 +30,6 @@
 	maxNesting  = 8        // levels of nested CBOR arrays
 )
 
-// skewAllowance is how far the wall clocks of two hosts may differ before the
-// age of a message that waited in a socket counts as too high.
-const skewAllowance = 500 * time.Millisecond
-
 // Codec turns messages into frames and back. Clock is needed because
 // deadlines travel as remaining time.
 type Codec struct {
@@ -74,7 +70,7 @@
 func (c *Codec) toWire(message any) (byte, any, error) {
 	switch m := message.(type) {
 	case Heartbeat:
-		return kindHeartbeat, wireHeartbeat{Info: infoToWire(m.Info), Ask: askToWire(m.Ask)}, nil
+		return kindHeartbeat, wireHeartbeat{Sent: c.Clock.Now().UnixMicro(), Info: infoToWire(m.Info), Ask: askToWire(m.Ask)}, nil
 	case Beat:
 		return kindBeat, wireBeat{Info: infoToWire(m.Info), Reply: replyToWire(m.Reply)}, nil
 	case Batch:
@@ -96,23 +92,24 @@
 	}
 }
 
-// Decode returns the message of a frame. The error names the kind of frame
-// that is malformed.
-func (c *Codec) Decode(frame []byte) (any, error) {
+// Decode returns the message of a frame that came over a connection with the
+// given record of ages. The error names the kind of frame that is malformed.
+func (c *Codec) Decode(frame []byte, age *Age) (any, error) {
 	if len(frame) == 0 {
 		return nil, errors.New("frame is empty")
 	}
-	message, err := c.fromWire(frame[0], frame[1:])
+	message, err := c.fromWire(frame[0], frame[1:], age)
 	if err != nil {
 		return nil, errors.Wrapf(err, "decoding frame kind %d of %d bytes", frame[0], len(frame))
 	}
 	return message, nil
 }
 
-func (c *Codec) fromWire(kind byte, body []byte) (any, error) {
+func (c *Codec) fromWire(kind byte, body []byte, age *Age) (any, error) {
 	switch kind {
 	case kindHeartbeat:
 		w, err := decode[wireHeartbeat](c, body)
+		age.learn(c.Clock.Now(), w.Sent)
 		info := infoFromWire(w.Info)
 		return Heartbeat{Info: info, Ask: askFromWire(w.Ask, info)}, err
 	case kindBeat:
@@ -121,7 +118,7 @@
 		return Beat{Info: info, Reply: replyFromWire(w.Reply, info)}, err
 	case kindBatch:
 		w, err := decode[wireBatch](c, body)
-		return c.batchFromWire(w), err
+		return c.batchFromWire(w, age), err
 	case kindAnswers:
 		w, err := decode[wireAnswers](c, body)
 		return answersFromWire(w), err
@@ -136,7 +133,7 @@
 		return valuesFromWire(w), err
 	case kindForward:
 		w, err := decode[wireForward](c, body)
-		return c.forwardFromWire(w), err
+		return c.forwardFromWire(w, age), err
 	case kindForwarded:
 		w, err := decode[wireForwarded](c, body)
 		return forwardedFromWire(w), err
--- a/peer/codec_query.go
+++ b/peer/codec_query.go
@@ -20,9 +20,9 @@
 	return w
 }
 
-func (c *Codec) batchFromWire(w wireBatch) Batch {
+func (c *Codec) batchFromWire(w wireBatch, age *Age) Batch {
 	now := c.Clock.Now()
-	spent := staleness(now, w.Sent)
+	spent := age.spent(now, w.Sent)
 	b := Batch{Order: w.Order, Subs: make([]magnoliashore.Sub, 0, len(w.Subs))}
 	for _, s := range w.Subs {
 		b.Subs = append(b.Subs, magnoliashore.NewSub(magnoliashore.SubSpec{
@@ -35,17 +35,6 @@
 	return b
 }
 
-// staleness returns how long a message has waited beyond what a difference of
-// the two wall clocks explains. It takes a message that lay in the socket of a
-// frozen process for what it is.
-func staleness(now time.Time, sent int64) time.Duration {
-	age := now.Sub(time.UnixMicro(sent)) - skewAllowance
-	if age <= 0 {
-		return 0
-	}
-	return age + skewAllowance
-}
-
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 func answersToWire(a Answers) wireAnswers {
@@ -132,11 +121,11 @@
 	return w
 }
 
-func (c *Codec) forwardFromWire(w wireForward) Forward {
+func (c *Codec) forwardFromWire(w wireForward, age *Age) Forward {
 	now := c.Clock.Now()
 	spec := magnoliashore.QuerySpec{
 		ID: magnoliashore.QueryID(w.Query), Group: magnoliashore.GroupName(w.Group), Body: w.Body,
-		Deadline: now.Add(micros(w.Remaining) - staleness(now, w.Sent)), Once: true,
+		Deadline: now.Add(micros(w.Remaining) - age.spent(now, w.Sent)), Once: true,
 		Ticket: magnoliashore.NewTicket(magnoliashore.HostID(w.Ticket.Host),
 			magnoliashore.Incarnation(w.Ticket.Incarnation), magnoliashore.Epoch(w.Ticket.Epoch), w.Ticket.ID),
 		Merge: magnoliashore.MergeBest(w.Best),
--- a/peer/session.go
+++ b/peer/session.go
@@ -26,6 +26,7 @@
 type session struct {
 	conn   *websocket.Conn
 	codec  *Codec
+	age    Age
 	outbox *ring.Ring[any]
 	done   chan struct{}
 	order  func() uint64
@@ -116,7 +117,7 @@
 	if kind != websocket.BinaryMessage {
 		return nil, errors.Mark(errors.New("a text message is not a frame"), errFrame)
 	}
-	message, err := s.codec.Decode(frame)
+	message, err := s.codec.Decode(frame, &s.age)
 	if err != nil {
 		return nil, errors.Mark(err, errFrame)
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -50,6 +50,7 @@
 
 type wireHeartbeat struct {
 	_    struct{} `cbor:",toarray"`
+	Sent int64    // wall clock of the sender, microseconds since 1970
 	Info wireInfo
 	Ask  wireAsk
 }
--- a/try/steps.go
+++ b/try/steps.go
@@ -33,6 +33,27 @@
 	return group.Wait()
 }
 
+// warmStep asks queries at a low rate, whose answers are not counted, since
+// every target starts cold.
+type warmStep struct{ run *Run }
+
+func (warmStep) String() string { return "warming the targets with a low load" }
+
+func (s warmStep) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmTime)
+	defer cancel()
+	var streams sync.WaitGroup
+	for _, u := range s.run.users {
+		asker := u.cell.Client()
+		for _, l := range u.groups {
+			l.period *= warmSlower
+			streams.Go(func() { u.ask(ctx, asker, l, newTally()) })
+		}
+	}
+	streams.Wait()
+	return nil
+}
+
 // burstStep asks queries at a steady rate and loses one target half way.
 type burstStep struct{ run *Run }
 
@@ -45,7 +66,7 @@
 	for _, u := range s.run.users {
 		asker := u.cell.Client()
 		for _, l := range u.groups {
-			streams.Go(func() { u.ask(ctx, asker, l) })
+			streams.Go(func() { u.ask(ctx, asker, l, u.tally) })
 		}
 	}
 	half := clock.After(s.run.Burst / 2)
@@ -75,7 +96,7 @@
 }
 
 // ask sends queries on schedule, whatever their answers do, until ctx ends.
-func (u *user) ask(ctx context.Context, asker *client.Client, l load) {
+func (u *user) ask(ctx context.Context, asker *client.Client, l load, tally *tally) {
 	tick := clock.Every(l.period)
 	defer tick.Stop()
 	var open sync.WaitGroup
@@ -85,18 +106,18 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			open.Go(func() { u.askOne(context.WithoutCancel(ctx), asker, l) })
+			open.Go(func() { u.askOne(context.WithoutCancel(ctx), asker, l, tally) })
 		}
 	}
 }
 
-func (u *user) askOne(ctx context.Context, asker *client.Client, l load) {
+func (u *user) askOne(ctx context.Context, asker *client.Client, l load, tally *tally) {
 	started := clock.Now()
 	answer, err := asker.Query(ctx, client.Request{
 		Group: l.group, Body: []byte("{}"), Deadline: l.deadline, Once: l.once,
 		Merge: magnoliashore.MergeBest(l.best),
 	})
-	u.tally.add(l, answer, err, clock.Now().Sub(started))
+	tally.add(l, answer, err, clock.Now().Sub(started))
 }
 
 // stopStep stops everything and keeps the ledgers.
--- a/try/try.go
+++ b/try/try.go
@@ -18,6 +18,8 @@
 	hostsPerCell = 3
 	shapeScale   = 0.5
 	startLimit   = 10 * time.Second
+	warmTime     = 1500 * time.Millisecond
+	warmSlower   = 4 // times less load while the targets warm up
 )
 
 // Step is one step of the run.
@@ -71,6 +73,7 @@
 func (r *Run) steps() []Step {
 	return []Step{
 		startStep{run: r},
+		warmStep{run: r},
 		burstStep{run: r},
 		stopStep{run: r},
 		compareStep{run: r},
