--- a/caller/reply.go
+++ b/caller/reply.go
@@ -53,7 +53,7 @@
 }
 
 func write(ctx iris.Context, status int, format wire.Format, data []byte) {
-	ctx.ContentType(format.ContentType())
+	ctx.Header("Content-Type", format.ContentType())
 	ctx.Header("Content-Length", strconv.Itoa(len(data)))
 	ctx.StatusCode(status)
 	// A failed write means that the caller has gone; there is nobody to tell.
--- a/caller/wire/jsontext.go
+++ b/caller/wire/jsontext.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !json.Valid(text) {
+		return nil, errors.New("an item holds no JSON value")
+	}
 	return cbor.Marshal(cbor.Tag{Number: tagJSON, Content: text})
 }
 
--- a/cmd/timeline.go
+++ b/cmd/timeline.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -52,7 +50,7 @@
 	if len(c.opts.from) == 0 {
 		return errors.New("from: needed is at least one address")
 	}
-	events, err := collectEvents(cmd.Context(), c.opts.from, cmd.ErrOrStderr())
+	events, err := collectEvents(cmd.Context(), c.opts.from, cmd.PrintErrf)
 	if err != nil {
 		return err
 	}
@@ -69,15 +67,15 @@
 }
 
 // collectEvents merges the events of all hosts and names those that cannot be
-// reached on warnings. It fails if none can.
-func collectEvents(ctx context.Context, addresses []string, warnings io.Writer) ([]magnoliashore.Event, error) {
+// reached by warn. It fails if none can.
+func collectEvents(ctx context.Context, addresses []string, warn func(format string, args ...any)) ([]magnoliashore.Event, error) {
 	results := fetchAll(ctx, addresses)
 	lists := make([][]magnoliashore.Event, 0, len(results))
 	var faults []error
 	for _, r := range results {
 		if r.err != nil {
 			faults = append(faults, r.err)
-			fmt.Fprintf(warnings, "not part of the time line: %v\n", r.err)
+			warn("not part of the time line: %v\n", r.err)
 			continue
 		}
 		lists = append(lists, r.events)
--- a/operator/render.go
+++ b/operator/render.go
@@ -16,7 +16,7 @@
 
 // RenderTable writes the operators' table in aligned columns for a person.
 func RenderTable(w io.Writer, table magnoliashore.Table) error {
-	rows := [][]string{columns()}
+	rows := newGrid(len(table.Zones())+len(table.Services()), columns()...)
 	for _, row := range tableRows(table) {
 		rows = append(rows, record(row))
 	}
@@ -49,7 +49,7 @@
 
 // RenderChanges writes changes for a person, one a line.
 func RenderChanges(w io.Writer, changes []Change) error {
-	rows := [][]string{{"row", "column", "before", "after"}}
+	rows := newGrid(len(changes), "row", "column", "before", "after")
 	for _, c := range changes {
 		rows = append(rows, []string{c.Row(), c.Column(), c.Before(), c.After()})
 	}
@@ -71,6 +71,11 @@
 	return magnoliashore.Step(encoder.Encode(value), step, "")
 }
 
+// newGrid returns the heading of a grid with room for so many rows below it.
+func newGrid(rows int, heading ...string) [][]string {
+	return append(make([][]string, 0, rows+1), heading)
+}
+
 // writeGrid writes rows in aligned columns, the first one as the heading.
 func writeGrid(w io.Writer, rows [][]string) error {
 	var text bytes.Buffer
--- a/operator/timeline.go
+++ b/operator/timeline.go
@@ -59,7 +59,7 @@
 
 // RenderEvents writes events as a table for a person, one a line.
 func RenderEvents(w io.Writer, events []magnoliashore.Event) error {
-	rows := [][]string{{"order", "time", "host", "code", "event", "query", "target", "peer", "detail"}}
+	rows := newGrid(len(events), "order", "time", "host", "code", "event", "query", "target", "peer", "detail")
 	for _, e := range events {
 		rows = append(rows, []string{
 			strconv.FormatUint(e.Order(), 10), e.At().UTC().Format(timeFormat), string(e.Host()),
