--- a/entry/control.go
+++ b/entry/control.go
@@ -169,6 +169,7 @@
 func (c *control) startLink(ctx context.Context, seat magnoliashore.Seat) *linked {
 	ctx, stop := context.WithCancel(ctx)
 	link := &peer.Link{
+		Self:    c.host.Settings.Host,
 		Seat:    seat,
 		Codec:   c.host.codec,
 		Timer:   c.host.Timer,
--- a/operator/fetch.go
+++ b/operator/fetch.go
@@ -12,39 +12,51 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
-// Bounds of reading the events of one host.
+// Bounds of reading a page of one host.
 const (
 	fetchTimeout = 5 * time.Second
-	maxEvents    = 64 << 20 // bytes
+	maxPage      = 64 << 20 // bytes
 )
 
 // FetchEvents reads the events that the entry host with the given admin
 // address, "ip:port", keeps.
 func FetchEvents(ctx context.Context, address string) ([]magnoliashore.Event, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	events, err := fetchEvents(ctx, address)
+	var events []magnoliashore.Event
+	err := fetch(ctx, address, PathEvents, func(page io.Reader) (err error) {
+		events, err = DecodeEvents(page)
+		return err
+	})
 	return events, magnoliashore.Step(err, "fetch events", address)
 }
 
-func fetchEvents(ctx context.Context, address string) ([]magnoliashore.Event, error) {
-	page := url.URL{Scheme: "http", Host: address, Path: PathEvents}
+// FetchStatus reads the state of the entry host with the given admin address,
+// "ip:port".
+func FetchStatus(ctx context.Context, address string) (Status, error) {
+	var status Status
+	err := fetch(ctx, address, PathStatus, func(page io.Reader) (err error) {
+		status, err = DecodeStatus(page)
+		return err
+	})
+	return status, magnoliashore.Step(err, "fetch status", address)
+}
+
+// fetch reads one page and passes it to take.
+func fetch(ctx context.Context, address, path string, take func(page io.Reader) error) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	page := url.URL{Scheme: "http", Host: address, Path: path}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, page.String(), nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	reply, err := client.Do(request)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	events, err := readEvents(reply)
-	return events, errors.Join(err, reply.Body.Close())
-}
-
-func readEvents(reply *http.Response) ([]magnoliashore.Event, error) {
+	defer func() { _ = reply.Body.Close() }()
 	if reply.StatusCode != http.StatusOK {
-		return nil, errors.Newf("HTTP status %d; needed is 200", reply.StatusCode)
+		return errors.Newf("HTTP status %d; needed is 200", reply.StatusCode)
 	}
-	return DecodeEvents(io.LimitReader(reply.Body, maxEvents))
+	return take(io.LimitReader(reply.Body, maxPage))
 }
--- a/operator/statuscodec.go
+++ b/operator/statuscodec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -54,3 +55,26 @@
 	data, err := json.MarshalIndent(message, "", "  ")
 	return append(data, '\n'), magnoliashore.Step(err, "encode status", "")
 }
+
+// DecodeStatus reads a status that EncodeStatus wrote.
+func DecodeStatus(r io.Reader) (Status, error) {
+	var message statusMessage
+	if err := json.NewDecoder(r).Decode(&message); err != nil {
+		return Status{}, magnoliashore.Step(err, "decode status", "")
+	}
+	spec := StatusSpec{
+		Host:        magnoliashore.HostID(message.Host),
+		Incarnation: magnoliashore.Incarnation(message.Incarnation),
+		Table:       magnoliashore.Version(message.Table),
+		Layout:      magnoliashore.Version(message.Layout),
+	}
+	for _, seat := range message.Seats {
+		spec.Seats = append(spec.Seats, NewSeatStatus(
+			magnoliashore.HostID(seat.Host), magnoliashore.Incarnation(seat.Incarnation), seat.Reached))
+	}
+	for _, lease := range message.Leases {
+		spec.Leases = append(spec.Leases, NewLeaseStatus(
+			magnoliashore.TargetID(lease.Target), time.Duration(lease.Left)*time.Millisecond))
+	}
+	return NewStatus(spec), nil
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -15,8 +15,12 @@
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
-// Path is the URL path of the WebSocket between entry hosts.
-const Path = "/peer"
+// Path is the URL path of the WebSocket between entry hosts, and SeatHeader
+// the header in which the dialling host names itself.
+const (
+	Path       = "/peer"
+	SeatHeader = "Seat"
+)
 
 // Waiting times between two attempts to reach a peer.
 const (
@@ -30,6 +34,7 @@
 // Link carries this host's requests to one other seat. Set the exported
 // fields before Run.
 type Link struct {
+	Self    magnoliashore.HostID
 	Seat    magnoliashore.Seat
 	Codec   *Codec
 	Timer   *timer.Service
@@ -84,7 +89,8 @@
 func (l *Link) dial(ctx context.Context) (*websocket.Conn, error) {
 	network := &net.Dialer{Timeout: handshakeTime, Control: controlSocket}
 	dialer := websocket.Dialer{NetDialContext: network.DialContext, HandshakeTimeout: handshakeTime}
-	conn, response, err := dialer.DialContext(ctx, "ws://"+l.Seat.Peer()+Path, http.Header{})
+	header := http.Header{SeatHeader: []string{string(l.Self)}}
+	conn, response, err := dialer.DialContext(ctx, "ws://"+l.Seat.Peer()+Path, header)
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -83,7 +83,7 @@
 	in := &incoming{
 		session: newSession(conn, s.Codec, s.Handler.Order),
 		handler: s.Handler,
-		remote:  r.RemoteAddr,
+		remote:  r.Header.Get(SeatHeader) + "@" + r.RemoteAddr,
 		cancels: make(map[uint64]func()),
 	}
 	in.serve(ctx)
