fix: leases are handed over, former owners serve meanwhile, peers are asked first

A restarted host put an old table in force before it had asked its peers. A graceful stop cost complete answers, because the new owner refused cold work until the old promise had run out. Ruled out: waiting at the root for the lease (holds a request back). Change: platform values count only after most peers were heard; an owner gives a lease back as soon as no cold work is in flight; a sub-request that a host refused for want of a lease goes to the former owner or a standby, also for queries that run once, since no target was asked. Budget earned once.

--- a/entry/config.go
+++ b/entry/config.go
@@ -28,13 +28,12 @@
 
 // config is the duty that keeps the configuration in force.
 type config struct {
-	host     *Host
-	keys     []string
-	current  atomic.Pointer[magnoliashore.View]
-	changed  chan struct{} // holds one mark after each change
-	started  time.Time
-	heard    atomic.Bool // a peer's configuration was taken in
-	complete atomic.Bool
+	host      *Host
+	keys      []string
+	current   atomic.Pointer[magnoliashore.View]
+	changed   chan struct{} // holds one mark after each change
+	started   time.Time
+	consulted atomic.Bool // peers were asked for a newer configuration
 
 	mu      sync.Mutex
 	store   *platform.Store
@@ -42,7 +41,8 @@
 	hosts   magnoliashore.HostList
 	hostsAt time.Time
 	readAt  time.Time
-	rank    int // place among the readers of the cell
+	heard   map[magnoliashore.HostID]bool // peers that have nothing newer
+	rank    int                           // place among the readers of the cell
 	failing int
 }
 
@@ -52,6 +52,7 @@
 		keys:    []string{platform.TableKey(h.Settings.Cell), platform.LayoutKey(h.Settings.Cell)},
 		changed: make(chan struct{}, 1),
 		started: h.Timer.Now(),
+		heard:   make(map[magnoliashore.HostID]bool),
 	}
 	c.store = platform.NewStore(c.check)
 	c.reader = c.newReader()
@@ -83,13 +84,53 @@
 	return magnoliashore.View{}
 }
 
-// ready reports whether there is a configuration, and peers were asked for a
-// newer one or had their time to answer.
-func (c *config) ready() bool {
-	if !c.complete.Load() {
+// ready reports whether a configuration is in force.
+func (c *config) ready() bool { return c.current.Load() != nil }
+
+// consult puts the configuration in force once most peers have said that they
+// know no newer one, or have had their time to say so. Until then a value of
+// the platform is not trusted: it may be stale.
+func (c *config) consult() {
+	if c.consulted.Load() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.host.Timer.Now().Sub(c.started) < bootstrapWait && !c.enoughHeard() {
+		return
+	}
+	c.consulted.Store(true)
+	c.rebuild()
+	c.mark()
+}
+
+// enoughHeard reports whether more than half of the other seats have nothing
+// newer than this host.
+func (c *config) enoughHeard() bool {
+	layout, ok := c.layout()
+	if !ok {
 		return false
 	}
-	return c.heard.Load() || c.host.Timer.Now().Sub(c.started) > bootstrapWait
+	return 2*len(c.heard) >= len(layout.Seats())-1
+}
+
+// seats returns the seats to connect to: those of the newest layout seen, in
+// force or not.
+func (c *config) seats() []magnoliashore.Seat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	layout, _ := c.layout()
+	return layout.Seats()
+}
+
+// layout returns the newest layout seen; c.mu is held.
+func (c *config) layout() (magnoliashore.Layout, bool) {
+	value, ok := c.store.Get(c.keys[1])
+	if !ok {
+		return magnoliashore.Layout{}, false
+	}
+	layout, err := platform.DecodeLayout(value.Version(), value.Data())
+	return layout, err == nil
 }
 
 // offer takes in a value from the platform or a peer.
@@ -122,8 +163,11 @@
 
 // rebuild derives the view from the values in force.
 func (c *config) rebuild() {
+	if !c.consulted.Load() {
+		return
+	}
 	tableValue, okTable := c.store.Get(c.keys[0])
-	layoutValue, okLayout := c.store.Get(c.keys[1])
+	layout, okLayout := c.layout()
 	if !okTable || !okLayout {
 		return
 	}
@@ -131,13 +175,8 @@
 	if err != nil {
 		return
 	}
-	layout, err := platform.DecodeLayout(layoutValue.Version(), layoutValue.Data())
-	if err != nil {
-		return
-	}
 	view := magnoliashore.NewView(table, layout, c.hosts)
 	c.current.Store(&view)
-	c.complete.Store(true)
 }
 
 func (c *config) mark() {
@@ -220,7 +259,7 @@
 	}
 	fetch.Hosts = newer
 	if !wanted && info.Ready {
-		c.heard.Store(true)
+		c.heard[info.Host] = true
 	}
 	return fetch, wanted || newer
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -30,13 +31,16 @@
 	members  map[magnoliashore.HostID]*member
 	links    map[string]*linked
 	roster   []magnoliashore.HostID
-	former   []magnoliashore.HostID
+	leavers  []magnoliashore.HostID // seats of the roster that is being replaced
 	placed   []owner.Member
 	layout   magnoliashore.Version
-	owned    map[magnoliashore.TargetID]bool
+	owned    map[magnoliashore.TargetID]bool // whether the lease is held
+	moved    map[magnoliashore.TargetID]bool // owned before, lease not yet given back
 	accepted bool
 	over     bool
 
+	present   atomic.Pointer[owner.Placement]
+	former    atomic.Pointer[owner.Placement] // the placement before the present one
 	leased    *owner.Leased
 	static    *owner.Static
 	ownership magnoliashore.Ownership
@@ -62,6 +66,7 @@
 		members:    make(map[magnoliashore.HostID]*member),
 		links:      make(map[string]*linked),
 		owned:      make(map[magnoliashore.TargetID]bool),
+		moved:      make(map[magnoliashore.TargetID]bool),
 	}
 	c.node = lease.New(lease.Config{
 		Self: h.Settings.Host, Incarnation: h.incarnation,
@@ -93,9 +98,11 @@
 		case <-tick.C:
 			c.follow(ctx)
 			c.place()
+			c.letGo(c.host.Timer.Now())
 			c.beat()
 		case <-c.wake:
 			c.place()
+			c.letGo(c.host.Timer.Now())
 			c.beat()
 		}
 	}
@@ -111,9 +118,10 @@
 
 // follow brings the links and the roster in line with the published seats.
 func (c *control) follow(ctx context.Context) {
+	c.followLinks(ctx, c.host.config.seats())
+	c.host.config.consult()
 	layout := c.host.view().Layout()
 	seats := layout.Seats()
-	c.followLinks(ctx, seats)
 	if len(seats) == 0 {
 		return
 	}
@@ -123,12 +131,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if slices.Equal(names, c.roster) && slices.Equal(layout.Former(), c.former) {
+	if slices.Equal(names, c.roster) && slices.Equal(layout.Former(), c.leavers) {
 		return
 	}
 	c.roster = names
-	c.former = slices.Clone(layout.Former())
-	c.node.SetRoster(c.host.Timer.Now(), lease.NewRoster(c.roster, c.former))
+	c.leavers = slices.Clone(layout.Former())
+	c.node.SetRoster(c.host.Timer.Now(), lease.NewRoster(c.roster, c.leavers))
 }
 
 func (c *control) followLinks(ctx context.Context, seats []magnoliashore.Seat) {
@@ -208,7 +216,6 @@
 	if values.Hosts != nil {
 		c.host.config.offerHosts(*values.Hosts, values.HostsAge)
 	}
-	c.host.config.heard.Store(true)
 }
 
 // takeBeat takes in the reply to a heartbeat.
--- a/entry/gather.go
+++ b/entry/gather.go
@@ -12,9 +12,8 @@
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
-// maxAttempts is how many sub-requests one partition may cost: the first, a
-// hedge and a retry.
-const maxAttempts = 3
+// maxAttempts is how many sub-requests one partition may cost.
+const maxAttempts = 4
 
 // attempt is one sub-request that was sent and not yet answered.
 type attempt struct {
@@ -29,7 +28,8 @@
 // piece is the state of one partition of the query.
 type piece struct {
 	plan    plan.Piece
-	tried   []magnoliashore.TargetID
+	tried   exclusion
+	count   int // attempts made
 	open    int // attempts not yet answered
 	done    bool
 	hedgeAt time.Time // zero if it is not to be hedged
@@ -129,13 +129,12 @@
 	for _, p := range g.pieces {
 		g.first(p, batches)
 	}
-	g.host.hedger.Sent(g.sent)
-	g.host.budget.Earn(g.sent)
+	g.host.earn(g.sent)
 	g.send(batches)
 }
 
 func (g *gatherer) first(p *piece, batches *batches) {
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), nil)
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), exclusion{}, stepStandby)
 	if !ok {
 		reason := p.plan.Reason()
 		if reason == magnoliashore.ReasonNone {
@@ -167,7 +166,8 @@
 			Snapshot: g.plan.Snapshot(), Deadline: g.due, Once: g.query.Once(), Body: g.query.Body(),
 		}),
 	}
-	p.tried = append(p.tried, r.target)
+	p.tried.routes = append(p.tried.routes, r)
+	p.count++
 	p.open++
 	g.sent++
 	g.waiting[a.sub.ID()] = a
@@ -244,17 +244,23 @@
 	g.left--
 }
 
-// retry sends the partition's sub-request to another replica if that is safe,
-// allowed and can still be in time.
+// retry sends the partition's sub-request another way if that is safe, allowed
+// and can still be in time.
 func (g *gatherer) retry(a *attempt, answer magnoliashore.SubAnswer) bool {
 	p := a.piece
-	if g.query.Once() || !p.plan.Service().Retry() || len(p.tried) >= maxAttempts {
+	if p.count >= maxAttempts {
 		return false
 	}
+	if !hostRefused(answer) {
+		p.tried.targets = append(p.tried.targets, a.route.target)
+		if g.query.Once() || !p.plan.Service().Retry() {
+			return false
+		}
+	}
 	if costsTarget(answer) && !g.host.budget.Take() {
 		return false
 	}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried)
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried, stepStandby)
 	if !ok {
 		return false
 	}
@@ -266,6 +272,21 @@
 	return true
 }
 
+// hostRefused reports whether an entry host refused the sub-request before
+// any target was asked, for a reason that lies with the host. It may then go
+// another way, to the same target too, also if the query runs at most once.
+func hostRefused(answer magnoliashore.SubAnswer) bool {
+	if answer.Outcome() != magnoliashore.OutcomeNotRun {
+		return false
+	}
+	switch answer.Reason() {
+	case magnoliashore.ReasonLease, magnoliashore.ReasonOwner, magnoliashore.ReasonUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
 // costsTarget reports whether the failed attempt cost a target work, so that
 // another attempt is extra load and needs the budget.
 func costsTarget(answer magnoliashore.SubAnswer) bool {
@@ -307,10 +328,14 @@
 }
 
 func (g *gatherer) hedgePiece(p *piece) {
-	if len(p.tried) >= maxAttempts {
+	if p.count >= maxAttempts {
 		return
 	}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried)
+	others := p.tried
+	for _, tried := range p.tried.routes {
+		others.targets = append(others.targets, tried.target)
+	}
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), others, stepOwner)
 	if !ok || r.load.Cold() || r.load.Queue() > r.load.Limit() {
 		return
 	}
@@ -343,11 +368,20 @@
 	}
 	for _, a := range g.waiting {
 		if a.piece == p {
+			g.observeLoser(a)
 			g.withdraw(a)
 		}
 	}
 }
 
+// observeLoser records how long a first sub-request had run when a hedge beat
+// it. Without it the learnt delay would drift down.
+func (g *gatherer) observeLoser(a *attempt) {
+	if !a.extra {
+		g.host.hedger.Observe(a.piece.plan.Service().Name(), g.host.Timer.Now().Sub(a.at))
+	}
+}
+
 func (g *gatherer) withdrawAll() {
 	for _, a := range g.waiting {
 		g.withdraw(a)
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -28,6 +28,7 @@
 	c.mu.Unlock()
 	if changed {
 		placement := owner.Place(layout, live)
+		c.former.Store(c.present.Swap(&placement))
 		c.leased.Set(placement)
 		c.static.Set(live)
 		c.own(now, placement)
@@ -88,10 +89,55 @@
 		owned[id] = c.owned[id]
 		keys = append(keys, lease.KeyOf(id))
 	}
+	for id := range c.owned {
+		if _, kept := owned[id]; !kept {
+			c.moved[id] = true
+		}
+	}
+	for id := range owned {
+		delete(c.moved, id)
+	}
 	c.owned = owned
 	c.node.Want(now, keys)
 }
 
+// hostsFor returns the hosts that are the given kind of way to a target.
+func (c *control) hostsFor(id magnoliashore.TargetID, s step) []magnoliashore.HostID {
+	switch s {
+	case stepOwner:
+		return one(c.ownership.Owner(id))
+	case stepFormer:
+		if former := c.former.Load(); former != nil && c.ownership == c.leased {
+			return one(former.Owner(id))
+		}
+		return nil
+	default:
+		return c.ownership.Standbys(id)
+	}
+}
+
+func one(host magnoliashore.HostID, ok bool) []magnoliashore.HostID {
+	if !ok {
+		return nil
+	}
+	return []magnoliashore.HostID{host}
+}
+
+// letGo gives back the leases on targets that moved to another owner, as soon
+// as no cold work of this host is in flight on them.
+func (c *control) letGo(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var keys []lease.Key
+	for id := range c.moved {
+		if c.host.workers.coldBusy(id) == 0 {
+			keys = append(keys, lease.KeyOf(id))
+			delete(c.moved, id)
+		}
+	}
+	c.node.Release(now, keys)
+}
+
 // reportLeases emits an event for each lease that was won or lost.
 func (c *control) reportLeases(now time.Time) {
 	var specs []magnoliashore.EventSpec
--- a/entry/query.go
+++ b/entry/query.go
@@ -8,6 +8,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/plan"
+	"github.com/magnoliashore/magnoliashore/settings"
 )
 
 // Times of the root of a query.
@@ -87,6 +88,15 @@
 	return ok && newest.ID() > p.Snapshot()
 }
 
+// earn counts first sub-requests towards the budget of extra ones. A hedger
+// that learns does so itself, on the same budget.
+func (h *Host) earn(n int) {
+	h.hedger.Sent(n)
+	if h.Settings.Policy.Hedge == settings.HedgeOff {
+		h.budget.Earn(n)
+	}
+}
+
 // fault records a panic that was recovered from.
 func (h *Host) fault(step string, fault any) {
 	h.meters.faults.Inc()
--- a/entry/route.go
+++ b/entry/route.go
@@ -44,45 +44,59 @@
 	group.subs = append(group.subs, a.sub)
 }
 
-// routeTo chooses among the targets not yet tried. A target whose owner
-// cannot be reached is asked through a standby, after all others.
+// step is how good a way to a target is.
+type step int
+
+// The ways to a target, the best first: its owner, the owner of the placement
+// before, whose connections still stand, and its standbys.
+const (
+	stepOwner step = iota
+	stepFormer
+	stepStandby
+	stepsEnd
+)
+
+// exclusion says which ways are not to be used again.
+type exclusion struct {
+	routes  []route                  // ways already tried
+	targets []magnoliashore.TargetID // targets not to be asked again by any way
+}
+
+func (e exclusion) covers(r route) bool {
+	if slices.Contains(e.targets, r.target) {
+		return true
+	}
+	return slices.ContainsFunc(e.routes, func(tried route) bool {
+		return tried.target == r.target && tried.host == r.host
+	})
+}
+
+// routeTo chooses the best way to one of the targets that is not excluded.
 func (h *Host) routeTo(
-	view magnoliashore.View, targets []magnoliashore.Target, tried []magnoliashore.TargetID,
+	view magnoliashore.View, targets []magnoliashore.Target, without exclusion, last step,
 ) (route, bool) {
-	var owned, stood []route
-	for _, t := range targets {
-		if slices.Contains(tried, t.ID()) {
-			continue
+	for s := stepOwner; s <= last; s++ {
+		var ways []route
+		for _, t := range targets {
+			if _, ok := view.Usable(t.ID()); !ok {
+				continue
+			}
+			if r, ok := h.way(t.ID(), s, without); ok {
+				ways = append(ways, r)
+			}
 		}
-		if _, ok := view.Usable(t.ID()); !ok {
-			continue
+		if len(ways) > 0 {
+			return h.choose(view, ways), true
 		}
-		if r, ok := h.ownerRoute(t.ID()); ok {
-			owned = append(owned, r)
-		} else if r, ok := h.standbyRoute(t.ID()); ok {
-			stood = append(stood, r)
-		}
-	}
-	if len(owned) > 0 {
-		return h.choose(view, owned), true
-	}
-	if len(stood) > 0 {
-		return h.choose(view, stood), true
 	}
 	return route{}, false
 }
 
-func (h *Host) ownerRoute(id magnoliashore.TargetID) (route, bool) {
-	host, ok := h.control.ownership.Owner(id)
-	if !ok {
-		return route{}, false
-	}
-	return h.hostRoute(id, host)
-}
-
-func (h *Host) standbyRoute(id magnoliashore.TargetID) (route, bool) {
-	for _, host := range h.control.ownership.Standbys(id) {
-		if r, ok := h.hostRoute(id, host); ok {
+// way returns a way of the given kind to the target that is open and not
+// excluded.
+func (h *Host) way(id magnoliashore.TargetID, s step, without exclusion) (route, bool) {
+	for _, host := range h.control.hostsFor(id, s) {
+		if r, ok := h.hostRoute(id, host); ok && !without.covers(r) {
 			return r, true
 		}
 	}
@@ -98,6 +112,9 @@
 }
 
 func (h *Host) choose(view magnoliashore.View, routes []route) route {
+	if len(routes) == 1 {
+		return routes[0]
+	}
 	candidates := make([]magnoliashore.Candidate, len(routes))
 	for i, r := range routes {
 		t, _ := view.Layout().Target(r.target)
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -41,7 +42,7 @@
 		answer   magnoliashore.SubAnswer
 		evidence magnoliashore.Evidence
 	}
-	released struct{} // a slot whose work was cut short is free again
+	released struct{ cold bool } // a slot whose work was cut short is free again
 )
 
 // worker is the duty of one target: it alone decides what is sent to it.
@@ -55,6 +56,8 @@
 	linkMu sync.Mutex
 	links  []bool // changes of connection not yet taken in
 
+	coldBusy atomic.Int64 // requests that were sent to the target while it was held cold
+
 	done    chan any // finished and released
 	target  magnoliashore.Target
 	row     magnoliashore.Service
@@ -158,7 +161,7 @@
 	case finished:
 		w.finish(ctx, m)
 	case released:
-		w.busy--
+		w.freeSlot(m.cold)
 	}
 }
 
@@ -337,8 +340,10 @@
 	end := j.sub.Deadline()
 	j.cold = w.belief.Cold(now)
 	if j.cold {
+		w.coldBusy.Add(1) // before the look at the lease, which may be given back when this is zero
 		until, ok := w.host.control.ownership.Until(now, w.target.ID())
 		if !ok || until.Sub(now) < leastWindow {
+			w.coldBusy.Add(-1)
 			delete(w.jobs, j.id)
 			w.refuse(j, magnoliashore.ReasonLease, w.host.Settings.Lease.Heartbeat)
 			return
@@ -413,7 +418,7 @@
 		linger = min(linger, lingerWarm)
 	}
 	if m.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
-		w.busy--
+		w.freeSlot(m.job.cold)
 		return
 	}
 	go func() {
@@ -421,12 +426,19 @@
 		defer wake.Stop()
 		select {
 		case <-wake.C:
-			w.report(ctx, released{})
+			w.report(ctx, released{cold: m.job.cold})
 		case <-ctx.Done():
 		}
 	}()
 }
 
+func (w *worker) freeSlot(cold bool) {
+	w.busy--
+	if cold {
+		w.coldBusy.Add(-1)
+	}
+}
+
 // drop refuses every queued job.
 func (w *worker) drop() {
 	for w.queue.Len() > 0 {
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -78,6 +78,17 @@
 	return w.list[id], magnoliashore.ReasonNone
 }
 
+// coldBusy returns how many requests are running on the target that were sent
+// while it was held cold, and so need the lease to stand.
+func (w *workers) coldBusy(id magnoliashore.TargetID) int {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if duty := w.list[id]; duty != nil {
+		return int(duty.coldBusy.Load())
+	}
+	return 0
+}
+
 // state passes a change of a target's connections to its duty.
 func (w *workers) state(id magnoliashore.TargetID, state target.State) {
 	w.mu.RLock()
--- a/proof/cell_test.go
+++ b/proof/cell_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -132,14 +133,27 @@
 	return s.peer
 }
 
+// nextPort is the last port given out. The ports lie below the range from
+// which the system picks, so that nothing else takes one meanwhile.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("free address: got %v, want none", err)
+	for range portCount {
+		port := firstPort + (os.Getpid()*100+int(nextPort.Add(1)))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("free address: got none")
+	return ""
 }
 
 // run starts the process of a seat.
