--- a/admit/flow.go
+++ b/admit/flow.go
@@ -143,7 +143,7 @@
 	count := own
 	for _, other := range c.active {
 		if other != f {
-			count += other.share.before(at, other.jobs.len(), other.name < f.name)
+			count += other.before(at, other.jobs.len(), other.name < f.name)
 		}
 	}
 	return count
--- a/admit/offer.go
+++ b/admit/offer.go
@@ -61,9 +61,7 @@
 // add queues the job.
 func (f *Fair) add(r request) {
 	c := r.flow.class
-	if c.waiting == 0 {
-		c.pass = c.start(f.virtual)
-	}
+	c.pass = c.start(f.virtual)
 	c.add(r.flow, r.item)
 	f.store.add(r.item)
 }
@@ -110,11 +108,7 @@
 func (f *Fair) before(fl *flow, it *item) int {
 	c := fl.class
 	own := c.before(fl, it)
-	at := c.pass
-	if c.waiting == 0 {
-		at = c.start(f.virtual)
-	}
-	at += int64(own) * c.stride
+	at := c.start(f.virtual) + int64(own)*c.stride
 	count := own
 	for _, other := range f.classes {
 		if other != c {
@@ -161,27 +155,21 @@
 func (f *Fair) after(r request, from time.Duration) time.Duration {
 	least := f.times.one() + f.times.drain(1, r.limit)
 	if least > r.left {
-		return max(from, f.times.drain(f.store.len()+r.busy, r.limit))
+		return f.times.drain(f.store.len()+r.busy, r.limit)
 	}
 	wait := f.times.wait(f.beforeLast(r.flow.class), r.limit, r.busy)
 	return max(from, wait+f.times.one()-r.left)
 }
 
 // beforeLast returns how many queued jobs are served before one that is added
-// as the last of c. For an idle class, the other classes count at least one
-// each.
+// as the last of c.
 func (f *Fair) beforeLast(c *class) int {
-	at := max(c.pass, f.virtual) + int64(c.waiting)*c.stride
+	at := c.start(f.virtual) + int64(c.waiting)*c.stride
 	count := c.waiting
 	for _, other := range f.classes {
-		if other == c {
-			continue
-		}
-		turns := other.share.before(at, other.waiting, true)
-		if c.waiting == 0 {
-			turns = max(turns, min(other.waiting, 1))
+		if other != c {
+			count += other.share.before(at, other.waiting, true)
 		}
-		count += turns
 	}
 	return count
 }
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -31,7 +31,7 @@
 	Incarnation magnoliashore.Incarnation // this process
 	Length      time.Duration             // length of an epoch, at least 1 ms
 	Size        int                       // tickets held at most, at least 1
-	Bytes       int                       // size of all held answers at most, estimated
+	Bytes       int                       // estimated size of all held answers at most, 0 to hold none
 }
 
 // Ledger records which tickets were used and with what answer. It is not safe
@@ -60,6 +60,7 @@
 func New(cfg Config, now time.Time) *Ledger {
 	cfg.Length = max(cfg.Length, leastLength)
 	cfg.Size = max(cfg.Size, 1)
+	cfg.Bytes = max(cfg.Bytes, 0)
 	return &Ledger{
 		cfg:     cfg,
 		epoch:   1,
@@ -112,7 +113,7 @@
 	if r, ok := b.records[k.id]; ok {
 		return l.repeat(r)
 	}
-	if b.closed || l.Len() >= l.cfg.Size {
+	if b.closed || l.full() {
 		b.closed = true
 		return Refused, l.refuse(magnoliashore.ReasonBusy, "ticket epoch is closed", l.after(now))
 	}
@@ -153,8 +154,8 @@
 // shrink drops the oldest answers until the held ones fit Bytes.
 func (l *Ledger) shrink() {
 	for l.past.bytes+l.present.bytes > l.cfg.Bytes {
-		if !l.past.lose() && !l.present.lose() {
-			return
+		if !l.past.lose() {
+			l.present.lose()
 		}
 	}
 }
@@ -198,9 +199,12 @@
 	l.start = start
 }
 
-// after returns how long until a new epoch is to be had.
+// full reports whether no new ticket can be recorded.
+func (l *Ledger) full() bool { return l.Len() >= l.cfg.Size }
+
+// after returns how long until a new ticket may be accepted.
 func (l *Ledger) after(now time.Time) time.Duration {
-	if !l.present.closed {
+	if !l.present.closed && !l.full() {
 		return shortestAfter
 	}
 	end := l.start.Add(l.cfg.Length / earlyShare)
