docs: which closed connections are not lost

Cause: towards a target a request is cancelled by closing its connection, so a report of each closed connection would turn a target cold with each hedge. Ruled out: counting connections in the belief; the interface has no number. Change: the comment of Lost says it. Conclusion: left to the wiring.

--- a/warm/warm.go
+++ b/warm/warm.go
@@ -93,7 +93,8 @@
 
 // Lost records that a connection broke. The target is cold at once, and stays
 // so until Connected is called, also if other connections still stand: the
-// caller then calls Connected again.
+// caller then calls Connected again. A connection that this host closed itself,
+// to cancel a request, is not lost while others stand: do not report it.
 func (b *Belief) Lost(time.Time) {
 	b.connected = false
 	b.fall(whyLost)
