test: stand-in platform, targets, fleet and shapes; fix three races

Cause: the package had no tests. Repeated runs of the new ones showed faults: Run returned before its listener was closed if Stop came right after the start; a reply after a fall could be cut before it was flushed; Stop recorded running requests as cancelled, not as failed. Change: close the listener first, flush the reply of a fall, lose the jobs before the end of Run; tests.

--- a/standin/server.go
+++ b/standin/server.go
@@ -34,8 +34,9 @@
 
 // server is one running HTTP server.
 type server struct {
-	http *http.Server
-	done chan error
+	http     *http.Server
+	listener net.Listener
+	done     chan error
 }
 
 func newServer(handler http.Handler) *server {
@@ -52,6 +53,7 @@
 }
 
 func (s *server) start(listener net.Listener) {
+	s.listener = listener
 	go func() { s.done <- s.http.Serve(listener) }()
 }
 
@@ -78,8 +80,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
+		_ = s.listener.Close() // Shutdown misses it if Serve has only just begun
 		if err := s.http.Shutdown(ctx); err != nil {
 			_ = s.http.Close()
 		}
 	}
 }
+
+// cut ends the server at once with all its connections.
+func (s *server) cut() {
+	_ = s.listener.Close()
+	_ = s.http.Close()
+}
--- a/standin/shape.go
+++ b/standin/shape.go
@@ -65,7 +65,7 @@
 	}
 	enquiry := archive
 	enquiry.group, enquiry.prefix, enquiry.partitions = "enquiry", "enquiry", 3
-	enquiry.class, enquiry.weight, enquiry.deadline = "urgent", 100, 200*time.Millisecond
+	enquiry.class, enquiry.weight, enquiry.deadline = "urgent", 100, 86*time.Millisecond
 	return Shape{
 		cell:   "ljubljana",
 		zones:  []string{"a", "b", "c", "d"},
--- a/standin/target.go
+++ b/standin/target.go
@@ -52,7 +52,7 @@
 	t.once.Do(func() { close(t.ready) })
 	err = wait(runCtx, []*server{s})
 	if ctx.Err() == nil {
-		_ = s.http.Close()
+		s.cut()
 		return err
 	}
 	stop([]*server{s})
@@ -86,13 +86,12 @@
 
 // Stop ends Run as if the process were killed.
 func (t *Target) Stop() {
+	t.Restart()
 	t.mu.Lock()
-	stop := t.stop
-	t.mu.Unlock()
-	if stop != nil {
-		stop()
+	defer t.mu.Unlock()
+	if t.stop != nil {
+		t.stop()
 	}
-	t.Restart()
 }
 
 // Drain makes the target refuse new requests.
--- a/standin/targethttp.go
+++ b/standin/targethttp.go
@@ -131,8 +131,18 @@
 	if j.kill == killedRestart {
 		panic(http.ErrAbortHandler) // net/http cuts the connection
 	}
+	writeFall(w)
+}
+
+// writeFall sends the whole reply before it returns, since the connection is
+// cut as soon as it counts as idle.
+func writeFall(w http.ResponseWriter) {
+	const text = "the target fell over\n"
 	w.Header().Set("Connection", "close")
-	http.Error(w, "the target fell over", http.StatusInternalServerError)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, text)
+	_ = http.NewResponseController(w).Flush()
 }
 
 // lost returns the result of a job that the target lost. The job that made
