--- a/cmd/standin/shape.go
+++ b/cmd/standin/shape.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/platform"
 	"github.com/magnoliashore/magnoliashore/standin"
 )
 
@@ -13,19 +16,22 @@
 	cmd   *cobra.Command
 	scale float64
 	port  int
+	seats []string
 }
 
 func newShapeCmd() *shapeCmd {
 	c := &shapeCmd{}
 	c.cmd = &cobra.Command{
-		Use:   "shape kovacic|peachtree table|targets",
-		Short: "print the operators' table or the targets of a user's shape",
+		Use:   "shape kovacic|peachtree table|targets|layout",
+		Short: "print the operators' table, the targets or the layout of a user's shape",
 		Args:  cobra.ExactArgs(2),
 		RunE:  c.run,
 	}
 	flags := c.cmd.Flags()
 	flags.Float64Var(&c.scale, "scale", 1, "share of the services, above 0 and at most 1")
 	flags.IntVar(&c.port, "port", 9001, "port of the first target on 127.0.0.1; the others follow")
+	flags.StringArrayVar(&c.seats, "seat", nil,
+		"seat of the layout as host,zone,peer,caller with ip:port addresses; may be repeated")
 	return c
 }
 
@@ -47,12 +53,47 @@
 	case "table":
 		return shape.Table(), nil
 	case "targets":
-		list := shape.Targets()
-		for i := range list {
-			list[i].Address = fmt.Sprintf("127.0.0.1:%d", c.port+i)
-		}
-		return standin.FormatTargets(list)
+		return standin.FormatTargets(c.targets(shape))
+	case "layout":
+		return c.layout(shape)
 	default:
-		return nil, errors.Newf("part %q of a shape does not exist, want table or targets", what)
+		return nil, errors.Newf("part %q of a shape does not exist, want table, targets or layout", what)
+	}
+}
+
+// targets returns the targets on consecutive ports.
+func (c *shapeCmd) targets(shape standin.Shape) []standin.TargetConfig {
+	list := shape.Targets()
+	for i := range list {
+		list[i].Address = fmt.Sprintf("127.0.0.1:%d", c.port+i)
+	}
+	return list
+}
+
+func (c *shapeCmd) layout(shape standin.Shape) ([]byte, error) {
+	addresses := make(map[string]string)
+	for _, target := range c.targets(shape) {
+		addresses[target.ID] = target.Address
+	}
+	seats := make([]magnoliashore.Seat, 0, len(c.seats))
+	for _, text := range c.seats {
+		seat, err := parseSeat(text)
+		if err != nil {
+			return nil, err
+		}
+		seats = append(seats, seat)
+	}
+	layout := shape.Layout(func(id string) string { return addresses[id] }, seats)
+	return platform.EncodeLayout(layout)
+}
+
+// parseSeat reads host,zone,peer,caller.
+func parseSeat(text string) (magnoliashore.Seat, error) {
+	const fields = 4
+	parts := strings.Split(text, ",")
+	if len(parts) != fields {
+		return magnoliashore.Seat{}, errors.Newf("seat %q has %d fields, want host,zone,peer,caller", text, len(parts))
 	}
+	return magnoliashore.NewSeat(
+		magnoliashore.HostID(parts[0]), magnoliashore.ZoneName(parts[1]), parts[2], parts[3]), nil
 }
