--- a/cmd/standin/shape.go
+++ b/cmd/standin/shape.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -15,9 +16,16 @@
 	cmd   *cobra.Command
 	scale float64
 	port  int
+	seats []string
 	hosts int
 }
 
+// Ports of the first entry host of a layout without given seats.
+const (
+	firstCallerPort = 7001
+	firstPeerPort   = 7101
+)
+
 func newShapeCmd() *shapeCmd {
 	c := &shapeCmd{}
 	c.cmd = &cobra.Command{
@@ -29,7 +37,10 @@
 	flags := c.cmd.Flags()
 	flags.Float64Var(&c.scale, "scale", 1, "share of the services, above 0 and at most 1")
 	flags.IntVar(&c.port, "port", 9001, "port of the first target on 127.0.0.1; the others follow")
-	flags.IntVar(&c.hosts, "hosts", 3, "entry hosts of the layout, on the ports from 7001 (callers) and 7101 (peers)")
+	flags.StringArrayVar(&c.seats, "seat", nil,
+		"seat of the layout as host,zone,peer,caller with ip:port addresses; may be repeated")
+	flags.IntVar(&c.hosts, "hosts", 3,
+		"seats e1, e2 and so on of a layout without --seat, on the ports from 7001 (callers) and 7101 (peers)")
 	return c
 }
 
@@ -51,11 +62,7 @@
 	case "table":
 		return shape.Table(), nil
 	case "targets":
-		list := shape.Targets()
-		for i := range list {
-			list[i].Address = fmt.Sprintf("127.0.0.1:%d", c.port+i)
-		}
-		return standin.FormatTargets(list)
+		return standin.FormatTargets(c.targets(shape))
 	case "layout":
 		return c.layout(shape)
 	default:
@@ -63,25 +70,56 @@
 	}
 }
 
-// Ports of the first entry host of a printed layout.
-const (
-	callerPort = 7001
-	peerPort   = 7101
-)
+// targets returns the targets on consecutive ports.
+func (c *shapeCmd) targets(shape standin.Shape) []standin.TargetConfig {
+	list := shape.Targets()
+	for i := range list {
+		list[i].Address = fmt.Sprintf("127.0.0.1:%d", c.port+i)
+	}
+	return list
+}
 
-// layout returns the layout of the shape with the targets on consecutive
-// ports, and entry hosts e1, e2 and so on spread over the zones.
 func (c *shapeCmd) layout(shape standin.Shape) ([]byte, error) {
 	addresses := make(map[string]string)
-	for i, target := range shape.Targets() {
-		addresses[target.ID] = fmt.Sprintf("127.0.0.1:%d", c.port+i)
+	for _, target := range c.targets(shape) {
+		addresses[target.ID] = target.Address
 	}
+	seats := make([]magnoliashore.Seat, 0, len(c.seats))
+	for _, text := range c.seats {
+		seat, err := parseSeat(text)
+		if err != nil {
+			return nil, err
+		}
+		seats = append(seats, seat)
+	}
+	if len(seats) == 0 {
+		seats = c.defaultSeats(shape)
+	}
+	layout := shape.Layout(func(id string) string { return addresses[id] }, seats)
+	return platform.EncodeLayout(layout)
+}
+
+// defaultSeats returns seats on consecutive ports, spread over the zones.
+func (c *shapeCmd) defaultSeats(shape standin.Shape) []magnoliashore.Seat {
 	zones := shape.Zones()
-	var seats []magnoliashore.Seat
+	seats := make([]magnoliashore.Seat, 0, c.hosts)
 	for i := range c.hosts {
 		seats = append(seats, magnoliashore.NewSeat(
-			magnoliashore.HostID(fmt.Sprintf("e%d", i+1)), magnoliashore.ZoneName(zones[i%len(zones)]),
-			fmt.Sprintf("127.0.0.1:%d", peerPort+i), fmt.Sprintf("127.0.0.1:%d", callerPort+i)))
+			magnoliashore.HostID(fmt.Sprintf("e%d", i+1)),
+			magnoliashore.ZoneName(zones[i%len(zones)]),
+			fmt.Sprintf("127.0.0.1:%d", firstPeerPort+i),
+			fmt.Sprintf("127.0.0.1:%d", firstCallerPort+i)))
+	}
+	return seats
+}
+
+// parseSeat reads host,zone,peer,caller.
+func parseSeat(text string) (magnoliashore.Seat, error) {
+	const fields = 4
+	parts := strings.Split(text, ",")
+	if len(parts) != fields {
+		return magnoliashore.Seat{}, errors.Newf("seat %q has %d fields, want host,zone,peer,caller", text, len(parts))
 	}
-	return platform.EncodeLayout(shape.Layout(func(id string) string { return addresses[id] }, seats))
+	return magnoliashore.NewSeat(
+		magnoliashore.HostID(parts[0]), magnoliashore.ZoneName(parts[1]), parts[2], parts[3]), nil
 }
