--- a/entry/control.go
+++ b/entry/control.go
@@ -181,6 +181,7 @@
 		Seat:    seat,
 		Codec:   c.host.codec,
 		Timer:   c.host.Timer,
+		Traffic: &c.host.traffic,
 		Order:   c.host.events.Order,
 		Witness: c.host.events.Witness,
 		OnFrame: func(err error) { c.host.handler().Malformed(seat.Peer(), err) },
--- a/entry/host.go
+++ b/entry/host.go
@@ -61,6 +61,7 @@
 	callers     *caller.Server
 	peers       *peer.Server
 
+	traffic  peer.Traffic
 	subs     atomic.Uint64
 	names    atomic.Uint64
 	inFlight atomic.Int64
@@ -107,7 +108,7 @@
 	h.callers = &caller.Server{
 		Address: h.Settings.Caller, Engine: h, Clock: h.Timer, Limit: h.Settings.Limits.Body, Log: h.Log,
 	}
-	h.peers = &peer.Server{Address: h.Settings.Peer, Codec: h.codec, Handler: h.handler()}
+	h.peers = &peer.Server{Address: h.Settings.Peer, Codec: h.codec, Handler: h.handler(), Traffic: &h.traffic}
 	return h.peers.Listen(ctx)
 }
 
@@ -180,6 +181,9 @@
 // Incarnation returns the incarnation of this process, after Prepare.
 func (h *Host) Incarnation() magnoliashore.Incarnation { return h.incarnation }
 
+// Traffic returns the counters of control traffic with other entry hosts.
+func (h *Host) Traffic() *peer.Traffic { return &h.traffic }
+
 // Events returns the event log, after Prepare.
 func (h *Host) Events() *event.Log { return h.events }
 
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -26,6 +26,8 @@
 	set := metrics.NewSet()
 	set.NewGauge("magnoliashore_queries_in_flight", func() float64 { return float64(h.inFlight.Load()) })
 	set.NewGauge("magnoliashore_subs_in_flight", func() float64 { return float64(h.workers.busy()) })
+	set.NewGauge("magnoliashore_control_sent_bytes", func() float64 { return float64(h.traffic.Sent()) })
+	set.NewGauge("magnoliashore_control_received_bytes", func() float64 { return float64(h.traffic.Received()) })
 	return &meters{
 		set:      set,
 		subs:     set.NewCounter("magnoliashore_subs_total"),
--- a/peer/link.go
+++ b/peer/link.go
@@ -38,6 +38,7 @@
 	Seat    magnoliashore.Seat
 	Codec   *Codec
 	Timer   *timer.Service
+	Traffic *Traffic            // counts control frames; may be nil
 	Order   func() uint64       // reads the logical clock before a send
 	Witness func(order uint64)  // moves the logical clock past a peer's
 	OnBeat  func(beat Beat)     // takes each heartbeat reply
@@ -99,7 +100,7 @@
 
 func (l *Link) serve(ctx context.Context, conn *websocket.Conn) {
 	o := &outgoing{
-		session:  newSession(conn, l.Codec, l.Order),
+		session:  newSession(conn, l.Codec, l.Traffic, l.Order),
 		subs:     make(map[uint64]*pendingSub),
 		forwards: make(map[uint64]*pendingForward),
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -39,6 +39,7 @@
 	Address string // "ip:port"; port 0 picks a free one
 	Codec   *Codec
 	Handler Handler
+	Traffic *Traffic // counts control frames; may be nil
 
 	listener net.Listener
 	wait     sync.WaitGroup
@@ -81,7 +82,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	in := &incoming{
-		session: newSession(conn, s.Codec, s.Handler.Order),
+		session: newSession(conn, s.Codec, s.Traffic, s.Handler.Order),
 		handler: s.Handler,
 		remote:  r.Header.Get(SeatHeader) + "@" + r.RemoteAddr,
 		cancels: make(map[uint64]func()),
--- a/peer/session.go
+++ b/peer/session.go
@@ -24,24 +24,26 @@
 
 // session is one WebSocket connection with its writing duty.
 type session struct {
-	conn   *websocket.Conn
-	codec  *Codec
-	age    Age
-	outbox *ring.Ring[any]
-	done   chan struct{}
-	order  func() uint64
-	ready  func(message any) (any, bool) // last look at a message before it is written
+	conn    *websocket.Conn
+	codec   *Codec
+	age     Age
+	traffic *Traffic
+	outbox  *ring.Ring[any]
+	done    chan struct{}
+	order   func() uint64
+	ready   func(message any) (any, bool) // last look at a message before it is written
 }
 
-func newSession(conn *websocket.Conn, codec *Codec, order func() uint64) *session {
+func newSession(conn *websocket.Conn, codec *Codec, traffic *Traffic, order func() uint64) *session {
 	conn.SetReadLimit(maxFrame)
 	return &session{
-		conn:   conn,
-		codec:  codec,
-		outbox: ring.New[any](outboxSize),
-		done:   make(chan struct{}),
-		order:  order,
-		ready:  func(message any) (any, bool) { return message, true },
+		conn:    conn,
+		codec:   codec,
+		traffic: traffic,
+		outbox:  ring.New[any](outboxSize),
+		done:    make(chan struct{}),
+		order:   order,
+		ready:   func(message any) (any, bool) { return message, true },
 	}
 }
 
@@ -101,6 +103,7 @@
 	if err != nil {
 		return err
 	}
+	s.traffic.countSent(frame)
 	if err := s.conn.SetWriteDeadline(s.codec.Clock.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -117,6 +120,7 @@
 	if kind != websocket.BinaryMessage {
 		return nil, errors.Mark(errors.New("a text message is not a frame"), errFrame)
 	}
+	s.traffic.countReceived(frame)
 	message, err := s.codec.Decode(frame, &s.age)
 	if err != nil {
 		return nil, errors.Mark(err, errFrame)
