perf(peer): leave out what a heartbeat repeats

Cause: names, incarnations, targets and versions were most of a heartbeat and seldom change. Ruled out: hashes in the lease protocol itself, which would have put the encoding into the decisions. Change: each direction of a connection remembers what it carried; unchanged parts are left out.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -54,9 +54,10 @@
 	return &Codec{Clock: clock, decoder: decoder}, nil
 }
 
-// Encode returns the frame of a message of this package.
-func (c *Codec) Encode(message any) ([]byte, error) {
-	kind, wire, err := c.toWire(message)
+// encode returns the frame of a message of this package, to send after those
+// in the history.
+func (c *Codec) encode(message any, past *history) ([]byte, error) {
+	kind, wire, err := c.toWire(message, past)
 	if err != nil {
 		return nil, err
 	}
@@ -67,12 +68,12 @@
 	return append([]byte{kind}, body...), nil
 }
 
-func (c *Codec) toWire(message any) (byte, any, error) {
+func (c *Codec) toWire(message any, past *history) (byte, any, error) {
 	switch m := message.(type) {
 	case Heartbeat:
-		return kindHeartbeat, wireHeartbeat{Sent: c.Clock.Now().UnixMicro(), Info: infoToWire(m.Info), Ask: askToWire(m.Ask)}, nil
+		return kindHeartbeat, c.heartbeatToWire(m, past), nil
 	case Beat:
-		return kindBeat, wireBeat{Info: infoToWire(m.Info), Reply: replyToWire(m.Reply)}, nil
+		return kindBeat, beatToWire(m, past), nil
 	case Batch:
 		return kindBatch, c.batchToWire(m), nil
 	case Answers:
@@ -92,62 +93,90 @@
 	}
 }
 
-// Decode returns the message of a frame that came over a connection with the
-// given record of ages. The error names the kind of frame that is malformed.
-func (c *Codec) Decode(frame []byte, age *Age) (any, error) {
+// decode returns the message of a frame that came after those in the history.
+// The error names the kind of frame that is malformed.
+func (c *Codec) decode(frame []byte, past *history) (any, error) {
 	if len(frame) == 0 {
 		return nil, errors.New("frame is empty")
 	}
-	message, err := c.fromWire(frame[0], frame[1:], age)
+	message, err := c.fromWire(frame[0], frame[1:], past)
 	if err != nil {
 		return nil, errors.Wrapf(err, "decoding frame kind %d of %d bytes", frame[0], len(frame))
 	}
 	return message, nil
 }
 
-func (c *Codec) fromWire(kind byte, body []byte, age *Age) (any, error) {
+func (c *Codec) fromWire(kind byte, body []byte, past *history) (any, error) {
 	switch kind {
 	case kindHeartbeat:
-		w, err := decode[wireHeartbeat](c, body)
-		age.learn(c.Clock.Now(), w.Sent)
-		info := infoFromWire(w.Info)
-		return Heartbeat{Info: info, Ask: askFromWire(w.Ask, info)}, err
+		w, err := unmarshal[wireHeartbeat](c, body)
+		if err != nil {
+			return nil, err
+		}
+		return c.heartbeatFromWire(w, past), nil
 	case kindBeat:
-		w, err := decode[wireBeat](c, body)
-		info := infoFromWire(w.Info)
-		return Beat{Info: info, Reply: replyFromWire(w.Reply, info)}, err
+		w, err := unmarshal[wireBeat](c, body)
+		if err != nil {
+			return nil, err
+		}
+		return beatFromWire(w, past), nil
 	case kindBatch:
-		w, err := decode[wireBatch](c, body)
-		return c.batchFromWire(w, age), err
+		w, err := unmarshal[wireBatch](c, body)
+		return c.batchFromWire(w, &past.age), err
 	case kindAnswers:
-		w, err := decode[wireAnswers](c, body)
+		w, err := unmarshal[wireAnswers](c, body)
 		return answersFromWire(w), err
 	case kindCancel:
-		w, err := decode[wireCancel](c, body)
+		w, err := unmarshal[wireCancel](c, body)
 		return Cancel{IDs: w.IDs}, err
 	case kindFetch:
-		w, err := decode[wireFetch](c, body)
+		w, err := unmarshal[wireFetch](c, body)
 		return Fetch{Held: heldFromWire(w.Held), Hosts: w.Hosts}, err
 	case kindValues:
-		w, err := decode[wireValues](c, body)
+		w, err := unmarshal[wireValues](c, body)
 		return valuesFromWire(w), err
 	case kindForward:
-		w, err := decode[wireForward](c, body)
-		return c.forwardFromWire(w, age), err
+		w, err := unmarshal[wireForward](c, body)
+		return c.forwardFromWire(w, &past.age), err
 	case kindForwarded:
-		w, err := decode[wireForwarded](c, body)
+		w, err := unmarshal[wireForwarded](c, body)
 		return forwardedFromWire(w), err
 	default:
 		return nil, errors.Newf("frame kind %d does not exist", kind)
 	}
 }
 
-func decode[T any](c *Codec, body []byte) (T, error) {
+func unmarshal[T any](c *Codec, body []byte) (T, error) {
 	var wire T
 	err := c.decoder.Unmarshal(body, &wire)
 	return wire, err
 }
 
+func (c *Codec) heartbeatToWire(m Heartbeat, past *history) wireHeartbeat {
+	w := wireHeartbeat{Sent: c.Clock.Now().UnixMicro(), Info: infoToWire(m.Info), Ask: askToWire(m.Ask)}
+	w.Same = past.heartbeat.omit(&w.Info, &w.Ask.View, &w.Ask.Keys)
+	return w
+}
+
+func (c *Codec) heartbeatFromWire(w wireHeartbeat, past *history) Heartbeat {
+	past.age.learn(c.Clock.Now(), w.Sent)
+	past.heartbeat.restore(w.Same, &w.Info, &w.Ask.View, &w.Ask.Keys)
+	info := infoFromWire(w.Info)
+	return Heartbeat{Info: info, Ask: askFromWire(w.Ask, info)}
+}
+
+func beatToWire(m Beat, past *history) wireBeat {
+	w := wireBeat{Info: infoToWire(m.Info), Reply: replyToWire(m.Reply)}
+	w.Same = past.beat.omit(&w.Info, &w.Reply.View, &w.Reply.Granted)
+	return w
+}
+
+func beatFromWire(w wireBeat, past *history) Beat {
+	past.beat.restore(w.Same, &w.Info, &w.Reply.View, &w.Reply.Granted)
+	info := infoFromWire(w.Info)
+	return Beat{Info: info, Reply: replyFromWire(w.Reply, info)}
+}
+
 func infoToWire(i Info) wireInfo {
 	return wireInfo{
 		Host: string(i.Host), Incarnation: uint64(i.Incarnation), Epoch: uint64(i.Epoch), Order: i.Order,
--- a/peer/session.go
+++ b/peer/session.go
@@ -26,7 +26,8 @@
 type session struct {
 	conn    *websocket.Conn
 	codec   *Codec
-	age     Age
+	sent    history // what the other side has of this one
+	got     history // what came from the other side
 	traffic *Traffic
 	outbox  *ring.Ring[any]
 	done    chan struct{}
@@ -99,7 +100,7 @@
 }
 
 func (s *session) send(message any) error {
-	frame, err := s.codec.Encode(message)
+	frame, err := s.codec.encode(message, &s.sent)
 	if err != nil {
 		return err
 	}
@@ -121,7 +122,7 @@
 		return nil, errors.Mark(errors.New("a text message is not a frame"), errFrame)
 	}
 	s.traffic.countReceived(frame)
-	message, err := s.codec.Decode(frame, &s.age)
+	message, err := s.codec.decode(frame, &s.got)
 	if err != nil {
 		return nil, errors.Mark(err, errFrame)
 	}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -48,15 +48,25 @@
 	Ready    bool
 }
 
+// Bits of the field Same: the part is as in the frame of the same kind before
+// it on the connection, and left out.
+const (
+	sameConfig = 1 << iota
+	sameView
+	sameKeys
+)
+
 type wireHeartbeat struct {
 	_    struct{} `cbor:",toarray"`
-	Sent int64    // wall clock of the sender, microseconds since 1970
+	Same int
+	Sent int64 // wall clock of the sender, microseconds since 1970
 	Info wireInfo
 	Ask  wireAsk
 }
 
 type wireBeat struct {
 	_     struct{} `cbor:",toarray"`
+	Same  int
 	Info  wireInfo
 	Reply wireReply
 }
