feat(client): one ask for addresses at a time, renewed early

Cause: every query that met an expired answer asked /entries by itself, and waited for it. Ruled out: a goroutine that renews all the time, since an idle client should be silent.

--- a/caller/client/attempts.go
+++ b/caller/client/attempts.go
@@ -49,7 +49,7 @@
 func (a *attempts) send(ctx context.Context, entry magnoliashore.Entry) (result, bool) {
 	now := a.client.clock.Now()
 	left := a.deadline.Sub(now)
-	if left < returnTime || ctx.Err() != nil {
+	if left < a.client.margin || ctx.Err() != nil {
 		return result{}, false
 	}
 	body, err := wire.EncodeQuery(wire.CBOR, a.query(now), now)
@@ -77,7 +77,7 @@
 		Merge:    a.request.Merge,
 	}
 	if a.stated {
-		spec.Deadline = a.deadline.Add(-returnTime)
+		spec.Deadline = a.deadline.Add(-a.client.margin)
 	}
 	return magnoliashore.NewQuery(spec)
 }
--- a/caller/client/client.go
+++ b/caller/client/client.go
@@ -16,7 +16,8 @@
 const (
 	longest        = time.Minute          // of a query without a deadline
 	entriesTimeout = time.Second          // for one host to say which addresses to use
-	returnTime     = time.Millisecond     // taken off the deadline for the way back
+	defaultMargin  = time.Millisecond     // for the way back
+	refreshShare   = 3                    // addresses are asked for again in the last part in this of their time
 	connectShare   = 3                    // a connection may take one part in this of the time left
 	firstPause     = 2 * time.Millisecond // before a ticket is sent again
 	longestPause   = time.Second          // between two sends of a ticket
@@ -32,13 +33,20 @@
 	Clock magnoliashore.Clock    // nil means the clock of the process
 	Retry int                    // sends of an idempotent query after the first; zero means one, less means none
 
+	// Margin is taken off the deadline that the entry host is told, for the
+	// way back of the answer; zero means 1 ms.
+	Margin time.Duration
+
 	once   sync.Once
 	http   *http.Client
 	clock  magnoliashore.Clock
+	margin time.Duration
 	timers timer.Service
+	asking chan struct{} // holds one element while addresses are asked for
 
 	mu      sync.Mutex
 	entries magnoliashore.Entries
+	refresh time.Time // when to ask again, while the answer may still be used
 	until   time.Time
 }
 
@@ -83,6 +91,11 @@
 	if c.clock == nil {
 		c.clock = &c.timers
 	}
+	c.margin = c.Margin
+	if c.margin == 0 {
+		c.margin = defaultMargin
+	}
+	c.asking = make(chan struct{}, 1)
 	c.http = newHTTPClient(c.HTTP)
 }
 
--- a/caller/client/client_test.go
+++ b/caller/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +84,53 @@
 	ask(2)
 }
 
+func TestEntriesAskedTogetherOnce(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "e1", specRan)
+	publish([]*host{h}, entry("e1", "a", h.addr))
+	c := &Client{Seeds: []string{h.addr}}
+	faults := make(chan error)
+	const callers = 50
+	for range callers {
+		go func() {
+			_, err := c.Entries(t.Context())
+			faults <- err
+		}()
+	}
+	for range callers {
+		if err := <-faults; err != nil {
+			t.Error(err)
+		}
+	}
+	if got, want := h.timesAsked(), 1; got != want {
+		t.Errorf("got %d asks, want %d", got, want)
+	}
+}
+
+// steppedClock tells the time that the test sets.
+type steppedClock struct{ nanoseconds atomic.Int64 }
+
+func (c *steppedClock) Now() time.Time { return time.Unix(0, c.nanoseconds.Load()) }
+
+func TestEntriesAreRenewedBeforeTheyExpire(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "e1", specRan)
+	publish([]*host{h}, entry("e1", "a", h.addr))
+	clock := &steppedClock{}
+	c := &Client{Seeds: []string{h.addr}, Clock: clock}
+	for step, want := range []int{1, 1, 2} {
+		clock.nanoseconds.Store(int64(step) * int64(time.Minute) * 3 / 8)
+		if _, err := c.Entries(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		c.asking <- struct{}{} // waits for the renewal
+		<-c.asking
+		if got := h.timesAsked(); got != want {
+			t.Errorf("step %d: got %d asks, want %d", step, got, want)
+		}
+	}
+}
+
 func TestEntriesExpire(t *testing.T) {
 	t.Parallel()
 	h := newHost(t, "e1", specRan)
--- a/caller/client/entries.go
+++ b/caller/client/entries.go
@@ -13,14 +13,57 @@
 	"github.com/magnoliashore/magnoliashore/caller/wire"
 )
 
+// freshness says whether held addresses may be used.
+type freshness int
+
+const (
+	expired freshness = iota
+	ageing            // may be used, but it is time to ask again
+	fresh
+)
+
 // Entries returns the addresses that may be used now: the last answer while
-// it may be kept, else a new one.
+// it may be kept, else a new one. Calls at the same time share one ask, and an
+// answer that will soon expire is renewed without a wait.
 func (c *Client) Entries(ctx context.Context) (magnoliashore.Entries, error) {
 	c.once.Do(c.prepare)
-	held, fresh := c.held()
-	if fresh {
+	held, state := c.held()
+	switch state {
+	case fresh:
+		return held, nil
+	case ageing:
+		c.renew(ctx)
+		return held, nil
+	}
+	select {
+	case c.asking <- struct{}{}:
+	case <-ctx.Done():
+		return magnoliashore.Entries{}, magnoliashore.Step(ctx.Err(), "ask for addresses", "")
+	}
+	defer func() { <-c.asking }()
+	if held, state := c.held(); state != expired {
 		return held, nil
 	}
+	return c.askAny(ctx)
+}
+
+// renew asks for addresses in the background, unless somebody does already.
+func (c *Client) renew(ctx context.Context) {
+	select {
+	case c.asking <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-c.asking }()
+		// A failure leaves the held answer, which the next calls renew.
+		_, _ = c.askAny(context.WithoutCancel(ctx))
+	}()
+}
+
+// askAny asks one host after the other until one answers.
+func (c *Client) askAny(ctx context.Context) (magnoliashore.Entries, error) {
+	held, _ := c.held()
 	var faults []error
 	for _, address := range c.sources(held) {
 		entries, err := c.ask(ctx, address)
@@ -36,10 +79,18 @@
 }
 
 // held returns the last answer and whether it may still be used.
-func (c *Client) held() (magnoliashore.Entries, bool) {
+func (c *Client) held() (magnoliashore.Entries, freshness) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.entries, c.clock.Now().Before(c.until)
+	now := c.clock.Now()
+	switch {
+	case !now.Before(c.until):
+		return c.entries, expired
+	case !now.Before(c.refresh):
+		return c.entries, ageing
+	default:
+		return c.entries, fresh
+	}
 }
 
 // forget makes the next query ask for addresses again.
@@ -81,6 +132,7 @@
 	defer c.mu.Unlock()
 	c.entries = entries
 	c.until = asked.Add(entries.Keep())
+	c.refresh = c.until.Add(-entries.Keep() / refreshShare)
 	return entries, nil
 }
 
--- a/settings/load.go
+++ b/settings/load.go
@@ -11,7 +11,7 @@
 )
 
 // maxFile is the most bytes that a settings file may have.
-const maxFile = 1 << 20
+const maxFile = 64 << 10
 
 // Load reads settings from YAML; what the file leaves out keeps its default.
 // It refuses unknown keys, and values of a wrong type or unit; the error
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -94,7 +94,7 @@
 		{"two documents", "host: a\n---\nhost: b\n", []string{"line 3: a second document"}},
 		{"alias", "host: &x a\nzone: *x\n", []string{"line 1: host has no plain value", "line 2: zone"}},
 		{"broken", "host: [a\n", []string{"load settings"}},
-		{"large", strings.Repeat("#", maxFile+1), []string{"at most 1048576"}},
+		{"large", strings.Repeat("#", maxFile+1), []string{"at most 65536"}},
 	}
 	for _, c := range cases {
 		_, err := Load([]byte(c.text))
