--- a/caller/client/once_test.go
+++ b/caller/client/once_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -143,3 +144,26 @@
 		t.Errorf("got a body to rewind or the length %d, want none and 4", got.ContentLength)
 	}
 }
+
+// TestOnceAsksAgainAfterUnknownOfAnotherHost checks that only the host of the
+// ticket ends the search for the outcome.
+func TestOnceAsksAgainAfterUnknownOfAnotherHost(t *testing.T) {
+	t.Parallel()
+	second := newHost(t, "e2", specRan)
+	publish([]*host{second}, entry("e1", "a", refusing(t)), entry("e2", "b", second.addr))
+	ran := second.answer
+	second.answer = func(ctx context.Context, query magnoliashore.Query) magnoliashore.Answer {
+		if len(second.got()) > 1 {
+			return ran(ctx, query)
+		}
+		spec := specUnknown
+		spec.Host = "e2"
+		return magnoliashore.NewAnswer(spec)
+	}
+	c := &Client{Seeds: []string{second.addr}, Zone: "a"}
+	got, err := c.Query(t.Context(), Request{Group: "g", Deadline: long, Once: true})
+	if err != nil || got.Outcome() != magnoliashore.OutcomeRan || len(second.got()) != 2 {
+		t.Errorf("got %+v, %v after %d sends", got, err, len(second.got()))
+	}
+	sameTicket(t, second.got())
+}
