test(client): refused addresses that no other test can get

Cause: in 20 runs under the race detector two tests failed once each, since a port that was closed to refuse connections was handed to a server of another test, which then got the query. Ruled out: a fault of the client: the query id at the host was of another test. Change: refused connections go to port 1, below those handed out.

--- a/caller/client/client_test.go
+++ b/caller/client/client_test.go
@@ -25,7 +25,7 @@
 	t.Parallel()
 	h := newHost(t, "e1", specRan)
 	publish([]*host{h}, entry("e1", "a", h.addr))
-	c := &Client{Seeds: []string{refusing(t), h.addr}, Zone: "a"}
+	c := &Client{Seeds: []string{refusing, h.addr}, Zone: "a"}
 	clock := timer.Service{}
 	answer, err := c.Query(t.Context(), Request{
 		Group: "g", Services: []magnoliashore.ServiceName{"s"}, Body: []byte("x"),
@@ -214,7 +214,7 @@
 func TestNothingSent(t *testing.T) {
 	t.Parallel()
 	h := newHost(t, "e1", specRan)
-	publish([]*host{h}, entry("e1", "a", refusing(t)), entry("e2", "a", refusing(t)))
+	publish([]*host{h}, entry("e1", "a", refusing), entry("e2", "a", refusing))
 	for _, once := range []bool{false, true} {
 		c := &Client{Seeds: []string{h.addr}}
 		got, err := c.Query(t.Context(), Request{Group: "g", Deadline: long, Once: once})
@@ -222,7 +222,7 @@
 			t.Errorf("once %v: got %+v, %v, want notrun and an error", once, got, err)
 		}
 	}
-	c := &Client{Seeds: []string{refusing(t)}}
+	c := &Client{Seeds: []string{refusing}}
 	got, err := c.Query(t.Context(), Request{ID: "q1", Group: "g", Once: true})
 	if err == nil || got.Outcome() != magnoliashore.OutcomeNotRun || got.Query() != "q1" {
 		t.Errorf("without entries: got %+v, %v", got, err)
--- a/caller/client/fake_test.go
+++ b/caller/client/fake_test.go
@@ -102,19 +102,9 @@
 	return magnoliashore.NewEntry(name, 17, 2, zone, address)
 }
 
-// refusing returns an address that refuses connections.
-func refusing(t *testing.T) string {
-	t.Helper()
-	var config net.ListenConfig
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
-	return listener.Addr().String()
-}
+// refusing is an address that refuses connections: no server of a test can get
+// its port, since it lies below those that the system hands out.
+const refusing = "127.0.0.1:1"
 
 // breaker is an address that reads each query and then breaks the connection
 // instead of answering, as often as times says; after that it passes queries
--- a/caller/client/once_test.go
+++ b/caller/client/once_test.go
@@ -63,7 +63,7 @@
 	}
 	for _, c := range cases {
 		second := newHost(t, "e2", c.second)
-		publish([]*host{second}, entry("e1", "a", refusing(t)), entry("e2", "b", second.addr))
+		publish([]*host{second}, entry("e1", "a", refusing), entry("e2", "b", second.addr))
 		asker := &Client{Seeds: []string{second.addr}, Zone: "a"}
 		got, _ := asker.Query(t.Context(), Request{Group: "g", Deadline: 300 * time.Millisecond, Once: true})
 		if got.Outcome() != c.want {
@@ -150,7 +150,7 @@
 func TestOnceAsksAgainAfterUnknownOfAnotherHost(t *testing.T) {
 	t.Parallel()
 	second := newHost(t, "e2", specRan)
-	publish([]*host{second}, entry("e1", "a", refusing(t)), entry("e2", "b", second.addr))
+	publish([]*host{second}, entry("e1", "a", refusing), entry("e2", "b", second.addr))
 	ran := second.answer
 	second.answer = func(ctx context.Context, query magnoliashore.Query) magnoliashore.Answer {
 		if len(second.got()) > 1 {
