--- a/caller/client/client_test.go
+++ b/caller/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 	t.Parallel()
 	h := newHost(t, "e1", specRan)
 	publish([]*host{h}, entry("e1", "a", h.addr))
-	c := &Client{Seeds: []string{refusing(t), h.addr}, Zone: "a"}
+	c := &Client{Seeds: []string{refusing, h.addr}, Zone: "a"}
 	clock := timer.Service{}
 	answer, err := c.Query(t.Context(), Request{
 		Group: "g", Services: []magnoliashore.ServiceName{"s"}, Body: []byte("x"),
@@ -83,6 +84,53 @@
 	ask(2)
 }
 
+func TestEntriesAskedTogetherOnce(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "e1", specRan)
+	publish([]*host{h}, entry("e1", "a", h.addr))
+	c := &Client{Seeds: []string{h.addr}}
+	faults := make(chan error)
+	const callers = 50
+	for range callers {
+		go func() {
+			_, err := c.Entries(t.Context())
+			faults <- err
+		}()
+	}
+	for range callers {
+		if err := <-faults; err != nil {
+			t.Error(err)
+		}
+	}
+	if got, want := h.timesAsked(), 1; got != want {
+		t.Errorf("got %d asks, want %d", got, want)
+	}
+}
+
+// steppedClock tells the time that the test sets.
+type steppedClock struct{ nanoseconds atomic.Int64 }
+
+func (c *steppedClock) Now() time.Time { return time.Unix(0, c.nanoseconds.Load()) }
+
+func TestEntriesAreRenewedBeforeTheyExpire(t *testing.T) {
+	t.Parallel()
+	h := newHost(t, "e1", specRan)
+	publish([]*host{h}, entry("e1", "a", h.addr))
+	clock := &steppedClock{}
+	c := &Client{Seeds: []string{h.addr}, Clock: clock}
+	for step, want := range []int{1, 1, 2} {
+		clock.nanoseconds.Store(int64(step) * int64(time.Minute) * 3 / 8)
+		if _, err := c.Entries(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		c.asking <- struct{}{} // waits for the renewal
+		<-c.asking
+		if got := h.timesAsked(); got != want {
+			t.Errorf("step %d: got %d asks, want %d", step, got, want)
+		}
+	}
+}
+
 func TestEntriesExpire(t *testing.T) {
 	t.Parallel()
 	h := newHost(t, "e1", specRan)
@@ -166,7 +214,7 @@
 func TestNothingSent(t *testing.T) {
 	t.Parallel()
 	h := newHost(t, "e1", specRan)
-	publish([]*host{h}, entry("e1", "a", refusing(t)), entry("e2", "a", refusing(t)))
+	publish([]*host{h}, entry("e1", "a", refusing), entry("e2", "a", refusing))
 	for _, once := range []bool{false, true} {
 		c := &Client{Seeds: []string{h.addr}}
 		got, err := c.Query(t.Context(), Request{Group: "g", Deadline: long, Once: once})
@@ -174,7 +222,7 @@
 			t.Errorf("once %v: got %+v, %v, want notrun and an error", once, got, err)
 		}
 	}
-	c := &Client{Seeds: []string{refusing(t)}}
+	c := &Client{Seeds: []string{refusing}}
 	got, err := c.Query(t.Context(), Request{ID: "q1", Group: "g", Once: true})
 	if err == nil || got.Outcome() != magnoliashore.OutcomeNotRun || got.Query() != "q1" {
 		t.Errorf("without entries: got %+v, %v", got, err)
