feat(target): close in two steps, so that a cancelled request keeps its slot

Cause: a cancelled request runs on until the target notices; its slot and its place in the connection limit were free before that, so a cold target could get a second request. A test at the target's listener saw 3+1 connections. Ruled out: counting at our close, since the target cannot have seen it yet; waiting without a bound, since a target may never notice. Change: the stream is ended first, Send and the place wait for the target's end of stream, at most Pool.Release. Conclusion: 300 randomly cancelled requests never overlap at the target.

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -128,3 +128,10 @@
 	defer a.mu.Unlock()
 	return a.conn, a.at, a.refused
 }
+
+// by returns the connection that began to write; nil if none did.
+func (a *attempt) by() *conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.writer
+}
--- a/target/conn.go
+++ b/target/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -12,13 +13,15 @@
 type conn struct {
 	net.Conn
 
-	link   *link
-	now    atomic.Pointer[attempt] // the request that may be written
-	sent   atomic.Pointer[attempt] // the request of which bytes were written
-	bad    atomic.Bool             // it must not carry another request
-	closed atomic.Bool             // this process has closed it
-	broken atomic.Bool             // the other side or the kernel ended it
-	ended  atomic.Bool             // it does not count as standing any more
+	link    *link
+	now     atomic.Pointer[attempt] // the request that may be written
+	sent    atomic.Pointer[attempt] // the request of which bytes were written
+	bad     atomic.Bool             // it must not carry another request
+	closed  atomic.Bool             // this process has closed it
+	broken  atomic.Bool             // the other side or the kernel ended it
+	ended   atomic.Bool             // it does not count as standing any more
+	reading sync.Mutex              // held during a read
+	done    chan struct{}           // closed when the target has let go of it
 }
 
 // attach makes a the request that the connection may write.
@@ -32,6 +35,11 @@
 // Read reads from the socket. An error that this process did not cause is an
 // unexpected break.
 func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(p)
 	if err != nil {
 		c.fail(err)
@@ -42,7 +50,7 @@
 // Write writes p unless the request is not allowed to or its gate has passed.
 func (c *conn) Write(p []byte) (int, error) {
 	a := c.now.Load()
-	if a == nil || c.bad.Load() {
+	if a == nil || c.bad.Load() || c.closed.Load() {
 		return 0, errSealed
 	}
 	if err := a.begin(c); err != nil {
@@ -92,24 +100,6 @@
 	}
 }
 
-// Close closes the connection. Bytes that the target has not acknowledged are
-// discarded, so that they cannot arrive later.
-func (c *conn) Close() error {
-	if !c.closed.CompareAndSwap(false, true) {
-		return net.ErrClosed
-	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && unacknowledged(tcp) {
-		_ = tcp.SetLinger(0)
-	}
-	err := c.Conn.Close()
-	if c.ended.CompareAndSwap(false, true) {
-		c.link.quota.fell()
-		c.link.watch.closed()
-	}
-	c.link.quota.give()
-	return err
-}
-
 // spoil closes the connection after a broken reply to a. If another request
 // holds the connection already, that one is kept from writing, or the
 // connection is closed when it ends.
--- a/target/doc.go
+++ b/target/doc.go
@@ -29,8 +29,9 @@
 //     full receive window, for that long. It must be below the margin between
 //     two leases.
 //   - Closing a connection alone does not withdraw the bytes: the kernel goes
-//     on sending them in the background. A connection that is closed while it
-//     has unacknowledged bytes is therefore reset, which discards them.
+//     on sending them in the background. A connection that is closed and still
+//     has unacknowledged bytes at the gate, or when the wait for the target is
+//     over, is therefore reset, which discards them.
 //   - A write that blocks on a full buffer ends at the gate.
 //
 // Bytes that the target's kernel has acknowledged, but its process has not
@@ -38,6 +39,15 @@
 // Deadline header stops them. A target that ignores this header can start
 // such a request late.
 //
+// # Letting go
+//
+// A cancelled request runs on until the target notices the end of the stream.
+// The connection is therefore closed in two steps: the stream towards the
+// target ends, and the socket is released when the target ends its stream too.
+// Until then Send does not return, so that its slot stays taken, and the
+// connection keeps its place in the target's limit. Pool.Release bounds both;
+// a target that has not noticed by then may still be running the request.
+//
 // The outcome of a request of which any byte was written is "unknown" unless
 // the target replies, whatever becomes of its bytes.
 package target
--- a/target/fail_test.go
+++ b/target/fail_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -13,18 +14,6 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
-// hold returns a handler that answers one request and, if keep, leaves the
-// connection open until done.
-func hold(reply string, keep bool, done <-chan struct{}) func(*net.TCPConn) {
-	answer := script(reply)
-	return func(c *net.TCPConn) {
-		answer(c)
-		if keep {
-			<-done
-		}
-	}
-}
-
 func TestSendRefusedDial(t *testing.T) {
 	t.Parallel()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -44,7 +33,7 @@
 	t.Parallel()
 	var runs atomic.Int32
 	r := newRig(t, raw(t, func(c *net.TCPConn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+		if whollyRead(bufio.NewReader(c)) {
 			runs.Add(1)
 		}
 		reset(c)
@@ -56,16 +45,6 @@
 	}
 }
 
-// whollyRead reads one request with its body.
-func whollyRead(b *bufio.Reader) bool {
-	r, err := http.ReadRequest(b)
-	if err != nil {
-		return false
-	}
-	_, err = io.Copy(io.Discard, r.Body)
-	return err == nil
-}
-
 // A target that resets each connection at the second request on it gets every
 // request once.
 func TestSendNeverReplays(t *testing.T) {
@@ -100,7 +79,7 @@
 	for _, abrupt := range []bool{true, false} {
 		cut := make(chan struct{})
 		r := newRig(t, raw(t, func(c *net.TCPConn) {
-			script(good + whole)(c)
+			script(good+whole, true)(c)
 			<-cut
 			if abrupt {
 				reset(c)
@@ -154,6 +133,78 @@
 	}
 }
 
+// Send returns when the target has let go of a cancelled request, or when
+// Pool.Release is over.
+func TestSendWaitsForTarget(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name          string
+		release, busy time.Duration // busy: how long the target takes to let go
+		least, most   time.Duration // when Send returns
+	}{
+		{"the target lets go", soon, 100 * time.Millisecond, 100 * time.Millisecond, soon},
+		{"the target does not", 50 * time.Millisecond, soon, 50 * time.Millisecond, soon / 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			end := make(chan struct{})
+			r := newRig(t, serve(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+				select {
+				case <-end:
+				case <-time.After(test.busy):
+				}
+			}), 1)
+			defer close(end)
+			r.pool.Close("t1")
+			r.pool.Release = test.release
+			r.pool.Open(r.target, 1)
+			began := time.Now()
+			a, e := r.pool.Send(t.Context(), sub(20*time.Millisecond), r.target, time.Time{})
+			check(t, a, magnoliashore.OutcomeUnknown, magnoliashore.ReasonDeadline)
+			if got := time.Since(began); got < test.least || got > test.most {
+				t.Errorf("returned after %v, want %v to %v", got, test.least, test.most)
+			}
+			if e.Took > test.most/2 || e.Healthy {
+				t.Errorf("evidence: got %+v, want the time until the deadline", e)
+			}
+		})
+	}
+}
+
+// One caller that sends the next request when Send returns never has two of
+// them running at the target, however often it cancels.
+func TestCancelKeepsSlot(t *testing.T) {
+	t.Parallel()
+	var running, overlaps atomic.Int32
+	r := newRig(t, serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if running.Add(1) > 1 {
+			overlaps.Add(1)
+		}
+		defer running.Add(-1)
+		select {
+		case <-r.Context().Done():
+			time.Sleep(200 * time.Microsecond)
+		case <-time.After(time.Millisecond):
+			answer(w, r)
+		}
+	}), 4)
+	var cancelled int
+	for range 300 {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Microsecond+rand.N(2*time.Millisecond))
+		if r.send(ctx, sub(soon)).Outcome() == magnoliashore.OutcomeUnknown {
+			cancelled++
+		}
+		cancel()
+	}
+	if got := overlaps.Load(); got != 0 || cancelled == 0 {
+		t.Errorf("overlaps: got %d with %d cancelled, want none", got, cancelled)
+	}
+}
+
 func TestUnopened(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, serve(t, answer), 1)
--- a/target/fake_test.go
+++ b/target/fake_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -66,13 +67,27 @@
 }
 
 // script returns a connection handler that reads one request and writes text.
-func script(text string) func(*net.TCPConn) {
+// It then ends the connection, or waits until the other side does.
+func script(text string, cut bool) func(*net.TCPConn) {
 	return func(c *net.TCPConn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		if !whollyRead(bufio.NewReader(c)) {
 			return
 		}
-		_, _ = fmt.Fprint(c, text)
+		_, _ = io.WriteString(c, text)
+		if !cut {
+			_, _ = io.Copy(io.Discard, c)
+		}
+	}
+}
+
+// whollyRead reads one request with its body.
+func whollyRead(b *bufio.Reader) bool {
+	r, err := http.ReadRequest(b)
+	if err != nil {
+		return false
 	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return err == nil
 }
 
 // reset closes a connection with a reset.
--- a/target/link.go
+++ b/target/link.go
@@ -19,7 +19,9 @@
 type link struct {
 	target    magnoliashore.Target
 	conns     int
+	clock     magnoliashore.Clock
 	wait      time.Duration // how long a dial may take
+	release   time.Duration // how long a closed connection waits for the target
 	dialer    net.Dialer
 	transport *http.Transport
 	watch     *watch
@@ -30,12 +32,14 @@
 // newLink returns a link with no connection yet.
 func (p *Pool) newLink(t magnoliashore.Target, conns int, b *book) *link {
 	l := &link{
-		target: t,
-		conns:  conns,
-		wait:   p.dial(),
-		dialer: net.Dialer{Control: control(p.UserTimeout)},
-		watch:  &watch{notes: b.notes},
-		quota:  b.quota,
+		target:  t,
+		conns:   conns,
+		clock:   p.Clock,
+		wait:    p.dial(),
+		release: p.release(),
+		dialer:  net.Dialer{Control: control(p.UserTimeout)},
+		watch:   &watch{notes: b.notes},
+		quota:   b.quota,
 	}
 	l.transport = &http.Transport{
 		DialContext:            l.dial,
@@ -63,7 +67,7 @@
 	}
 	l.quota.opened()
 	l.watch.opened()
-	return &conn{Conn: raw, link: l}, nil
+	return &conn{Conn: raw, link: l, done: make(chan struct{})}, nil
 }
 
 // retire ends new work; what runs may finish.
@@ -73,8 +77,8 @@
 	l.transport.CloseIdleConnections()
 }
 
-// release ends one use of the link.
-func (l *link) release() {
+// leave ends one use of the link.
+func (l *link) leave() {
 	if l.retired.Load() {
 		l.transport.CloseIdleConnections()
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	defaultDial  = time.Second
-	defaultLimit = 8 << 20 // bytes of a reply body
+	defaultDial    = time.Second
+	defaultRelease = 500 * time.Millisecond
+	defaultLimit   = 8 << 20 // bytes of a reply body
 )
 
 // Pool holds the connections to a set of targets. Its exported fields are set
@@ -22,6 +23,10 @@
 	UserTimeout time.Duration
 	// Dial is how long opening a connection may take; zero means 1 s.
 	Dial time.Duration
+	// Release is how long a closed connection waits for the target to close
+	// its side; zero means 500 ms. It should be below Dial, since a dial may
+	// have to wait for it.
+	Release time.Duration
 	// Limit is the size in bytes of the largest reply body; zero means 8 MiB.
 	Limit int64
 	// Skew is the largest error between this process's wall clock and a
@@ -153,3 +158,10 @@
 	}
 	return p.Limit
 }
+
+func (p *Pool) release() time.Duration {
+	if p.Release <= 0 {
+		return defaultRelease
+	}
+	return p.Release
+}
--- a/target/probe.go
+++ b/target/probe.go
@@ -47,7 +47,7 @@
 	if l == nil {
 		return Health{}, magnoliashore.Step(errors.New("target is not open"), "probe", target.Address())
 	}
-	defer l.release()
+	defer l.leave()
 	resp, err := l.transport.RoundTrip(p.question(ctx, l))
 	if err != nil {
 		return Health{}, magnoliashore.Step(err, "probe", target.Address())
--- a/target/reply.go
+++ b/target/reply.go
@@ -51,6 +51,7 @@
 	}
 	data := make([]byte, resp.ContentLength)
 	if _, err := io.ReadFull(resp.Body, data); err != nil {
+		defer x.letGo()
 		return x.spoiled(x.cut(ctx, err))
 	}
 	return magnoliashore.NewSubAnswer(magnoliashore.SubAnswerSpec{
--- a/target/send.go
+++ b/target/send.go
@@ -23,14 +23,15 @@
 // answer with the evidence it gave. notAfter is the last moment at which a
 // byte may be written; zero means the sub's deadline. The request is sent at
 // most once. When ctx or the sub's deadline ends, the connection is closed,
-// which cancels the request at the target.
+// which cancels the request at the target; Send then returns when the target
+// has let go of the request, at most Pool.Release later.
 func (p *Pool) Send(ctx context.Context, sub magnoliashore.Sub, target magnoliashore.Target, notAfter time.Time) (magnoliashore.SubAnswer, magnoliashore.Evidence) {
 	x := &exchange{pool: p, sub: sub, attempt: newAttempt(p.Clock, sub, notAfter), began: p.Clock.Now()}
 	x.link = p.link(target)
 	if x.link == nil {
 		return magnoliashore.Refuse(sub, magnoliashore.ReasonLeaving, 0), magnoliashore.Evidence{}
 	}
-	defer x.link.release()
+	defer x.link.leave()
 	if x.attempt.passed() {
 		return magnoliashore.Refuse(sub, x.attempt.reason, 0), magnoliashore.Evidence{}
 	}
@@ -69,7 +70,7 @@
 	defer x.settle()
 	resp, err := x.link.transport.RoundTrip(x.pool.request(ctx, x.sub, x.link, x.attempt))
 	if err != nil {
-		return x.failed(ctx), magnoliashore.Evidence{Took: x.took()}
+		return x.failed(ctx)
 	}
 	answer := x.reply(ctx, resp)
 	_ = resp.Body.Close()
@@ -84,17 +85,32 @@
 	}
 }
 
-// failed returns the answer for an exchange without a reply.
-func (x *exchange) failed(ctx context.Context) magnoliashore.SubAnswer {
+// failed returns the answer for an exchange without a reply. If bytes were
+// written, it waits until the target has let go of the request.
+func (x *exchange) failed(ctx context.Context) (magnoliashore.SubAnswer, magnoliashore.Evidence) {
 	untouched := x.attempt.seal()
 	c, _, refused := x.attempt.state()
+	evidence := magnoliashore.Evidence{Took: x.took()}
 	if untouched {
-		return magnoliashore.Refuse(x.sub, x.unsent(ctx, c, refused), 0)
+		return magnoliashore.Refuse(x.sub, x.unsent(ctx, c, refused), 0), evidence
 	}
-	if refused {
-		return magnoliashore.Lose(x.sub, magnoliashore.ReasonDeadline)
+	reason := magnoliashore.ReasonDeadline
+	if !refused {
+		reason = x.lost(ctx)
+	}
+	x.letGo()
+	return magnoliashore.Lose(x.sub, reason), evidence
+}
+
+// letGo closes the connection that the request was written to, and waits
+// until the target has closed it too, at most for Pool.Release.
+func (x *exchange) letGo() {
+	c := x.attempt.by()
+	if c == nil {
+		return
 	}
-	return magnoliashore.Lose(x.sub, x.lost(ctx))
+	_ = c.Close()
+	<-c.done
 }
 
 // unsent returns why nothing was written. A deadline that passes before there
--- a/target/send_test.go
+++ b/target/send_test.go
@@ -62,39 +62,38 @@
 		outcome magnoliashore.Outcome
 		reason  magnoliashore.Reason
 		kept    bool // the connection may carry another request
+		cut     bool // the target ends the connection
 	}{
-		{"whole", good + whole, ran, "", true},
-		{"empty part", good + "Content-Length: 0\r\n\r\n", ran, "", true},
-		{"no reply", "", unknown, magnoliashore.ReasonLost, false},
-		{"half a header", good, unknown, magnoliashore.ReasonLost, false},
-		{"not HTTP", "SSH-2.0-x\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false},
-		{"short body", good + "Content-Length: 9\r\n\r\npart", unknown, magnoliashore.ReasonInvalid, false},
-		{"no length", good + "\r\npart", unknown, magnoliashore.ReasonInvalid, false},
-		{"chunked", good + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false},
-		{"too large", good + "Content-Length: 65\r\n\r\npart", unknown, magnoliashore.ReasonInvalid, false},
-		{"two lengths", good + "Content-Length: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false},
-		{"crossed request", "HTTP/1.1 200 OK\r\nRequest: 8\r\nPartition: p1\r\nSnapshot: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false},
-		{"crossed empty", "HTTP/1.1 200 OK\r\nRequest: 8\r\nPartition: p1\r\nSnapshot: 3\r\nContent-Length: 0\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false},
-		{"crossed partition", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p2\r\nSnapshot: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false},
-		{"other snapshot", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 2\r\n" + whole, unknown, magnoliashore.ReasonSnapshot, false},
-		{"garbled snapshot", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 03\r\n" + whole, unknown, magnoliashore.ReasonSnapshot, false},
-		{"no echo", "HTTP/1.1 200 OK\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false},
-		{"error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops", unknown, magnoliashore.ReasonInvalid, true},
-		{"shed", shed + "Refused: shed\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonShed, true},
-		{"cold", shed + "Refused: cold\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonCold, true},
-		{"drain", shed + "Refused: drain\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonLeaving, true},
-		{"late", shed + "Refused: deadline\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonDeadline, true},
-		{"gone", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\nRefused: snapshot\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonSnapshot, true},
-		{"crossed refusal", shed + "Request: 8\r\nRefused: shed\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false},
-		{"unknown refusal", shed + "Refused: maybe\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false},
-		{"two refusals", shed + "Refused: shed\r\nRefused: cold\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false},
+		{"whole", good + whole, ran, "", true, false},
+		{"empty part", good + "Content-Length: 0\r\n\r\n", ran, "", true, false},
+		{"no reply", "", unknown, magnoliashore.ReasonLost, false, true},
+		{"half a header", good, unknown, magnoliashore.ReasonLost, false, true},
+		{"not HTTP", "SSH-2.0-x\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
+		{"short body", good + "Content-Length: 9\r\n\r\npart", unknown, magnoliashore.ReasonInvalid, false, true},
+		{"no length", good + "\r\npart", unknown, magnoliashore.ReasonInvalid, false, true},
+		{"chunked", good + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
+		{"too large", good + "Content-Length: 65\r\n\r\npart", unknown, magnoliashore.ReasonInvalid, false, false},
+		{"two lengths", good + "Content-Length: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
+		{"crossed request", "HTTP/1.1 200 OK\r\nRequest: 8\r\nPartition: p1\r\nSnapshot: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
+		{"crossed empty", "HTTP/1.1 200 OK\r\nRequest: 8\r\nPartition: p1\r\nSnapshot: 3\r\nContent-Length: 0\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
+		{"crossed partition", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p2\r\nSnapshot: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
+		{"other snapshot", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 2\r\n" + whole, unknown, magnoliashore.ReasonSnapshot, false, false},
+		{"garbled snapshot", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 03\r\n" + whole, unknown, magnoliashore.ReasonSnapshot, false, false},
+		{"no echo", "HTTP/1.1 200 OK\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
+		{"error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops", unknown, magnoliashore.ReasonInvalid, true, false},
+		{"shed", shed + "Refused: shed\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonShed, true, false},
+		{"cold", shed + "Refused: cold\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonCold, true, false},
+		{"drain", shed + "Refused: drain\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonLeaving, true, false},
+		{"late", shed + "Refused: deadline\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonDeadline, true, false},
+		{"gone", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\nRefused: snapshot\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonSnapshot, true, false},
+		{"crossed refusal", shed + "Request: 8\r\nRefused: shed\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
+		{"unknown refusal", shed + "Refused: maybe\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
+		{"two refusals", shed + "Refused: shed\r\nRefused: cold\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			done := make(chan struct{})
-			defer close(done)
-			r := newRig(t, raw(t, hold(test.reply, test.kept, done)), 1)
+			r := newRig(t, raw(t, script(test.reply, test.cut)), 1)
 			r.pool.Limit = 64
 			a, e := r.pool.Send(t.Context(), sub(soon), r.target, time.Time{})
 			check(t, a, test.outcome, test.reason)
