--- a/target/close.go
+++ b/target/close.go
@@ -17,7 +17,7 @@
 	if !c.closed.CompareAndSwap(false, true) {
 		return net.ErrClosed
 	}
-	_ = c.Conn.SetReadDeadline(past)
+	_ = c.SetReadDeadline(past)
 	if c.ended.CompareAndSwap(false, true) {
 		c.link.quota.fell()
 		c.link.watch.closed()
