--- a/entry/placement.go
+++ b/entry/placement.go
@@ -84,8 +84,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	owned := make(map[magnoliashore.TargetID]bool)
-	var keys []lease.Key
-	for _, id := range placement.Owned(c.host.Settings.Host) {
+	mine := placement.Owned(c.host.Settings.Host)
+	keys := make([]lease.Key, 0, len(mine))
+	for _, id := range mine {
 		owned[id] = c.owned[id]
 		keys = append(keys, lease.KeyOf(id))
 	}
@@ -128,7 +129,7 @@
 func (c *control) letGo(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var keys []lease.Key
+	keys := make([]lease.Key, 0, len(c.moved))
 	for id := range c.moved {
 		if c.host.workers.coldBusy(id) == 0 {
 			keys = append(keys, lease.KeyOf(id))
--- a/local/cell.go
+++ b/local/cell.go
@@ -174,7 +174,7 @@
 		}
 		return c.Reach(id, addresses[id])
 	}
-	var seats []magnoliashore.Seat
+	seats := make([]magnoliashore.Seat, 0, len(c.hosts))
 	for _, h := range c.hosts {
 		seats = append(seats, magnoliashore.NewSeat(
 			h.Settings.Host, h.Settings.Zone, h.PeerAddr(), h.CallerAddr()))
@@ -210,7 +210,7 @@
 // Targets returns the stand-in targets.
 func (c *Cell) Targets() []*standin.Target { return c.fleet.Targets }
 
-// Target returns the named stand-in target.
+// TargetNamed returns the named stand-in target.
 func (c *Cell) TargetNamed(id magnoliashore.TargetID) (*standin.Target, bool) {
 	return c.fleet.Target(string(id))
 }
--- a/peer/codec_query.go
+++ b/peer/codec_query.go
@@ -159,11 +159,11 @@
 }
 
 func forwardedFromWire(w wireForwarded) Forwarded {
-	var missing []magnoliashore.Miss
+	missing := make([]magnoliashore.Miss, 0, len(w.Missing))
 	for _, m := range w.Missing {
 		missing = append(missing, magnoliashore.NewMiss(magnoliashore.PartitionID(m.Partition), magnoliashore.Reason(m.Reason)))
 	}
-	var zones []magnoliashore.ZoneCoverage
+	zones := make([]magnoliashore.ZoneCoverage, 0, len(w.Zones))
 	for _, z := range w.Zones {
 		zones = append(zones, magnoliashore.NewZoneCoverage(magnoliashore.ZoneName(z.Zone), z.Covered, z.Total))
 	}
