feat(entry): a panic never ends the process

Cause: a panic in a duty's goroutine would have ended the entry host. Change: the duties are one list; each is guarded, a panic becomes an event and the duty starts again. A target's duty gives its jobs up as unknown and takes the target for cold.

--- a/behaviour.go
+++ b/behaviour.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// Duty is one of the things that a process does as long as it lives.
+type Duty interface {
+	// String says what the duty does, in lower case.
+	String() string
+	// Run does it until ctx ends.
+	Run(ctx context.Context) error
+}
+
 // Clock tells the time. The package timer has the real one.
 type Clock interface {
 	// Now returns the current time with a monotonic reading.
--- a/entry/control.go
+++ b/entry/control.go
@@ -190,7 +190,11 @@
 	link.OnBeat = func(beat peer.Beat) { c.takeBeat(link, beat) }
 	link.OnValue = func(values peer.Values) { c.takeValues(seat, values) }
 	link.OnState = func(up bool) { c.takeState(seat, up) }
-	go link.Run(ctx)
+	run := func(ctx context.Context) error {
+		link.Run(ctx)
+		return nil
+	}
+	go func() { _ = c.host.guard(ctx, duty{"keeping a link to " + seat.Peer(), run}) }()
 	return &linked{link: link, stop: stop}
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -151,13 +151,10 @@
 
 	group, life := errgroup.WithContext(life)
 	h.workers.start(life)
-	group.Go(func() error { return h.peers.Run(life) })
-	group.Go(func() error { return h.config.run(life) })
-	group.Go(func() error { return h.control.run(life) })
-	group.Go(func() error { return h.callers.Run(serving) })
-	if h.Settings.Operator != "" {
-		group.Go(func() error { return newPages(h).Run(life) })
+	for _, d := range h.duties() {
+		group.Go(func() error { return h.guard(life, d) })
 	}
+	group.Go(func() error { return h.callers.Run(serving) })
 	group.Go(func() error {
 		defer end()
 		h.leaveAfter(ctx, life, stopServing)
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -80,14 +80,10 @@
 		done:   make(chan any),
 		target: t,
 		row:    row,
-		queue:  h.newQueue(row.Queue()),
 		jobs:   make(map[uint64]*job),
 		cold:   true,
 	}
-	w.belief = warm.New(warm.Config{
-		Cold: row.Cold(), Slots: row.Slots(), Fresh: h.Settings.Warm.Fresh, Jump: h.Settings.Warm.Jump,
-		Sheds: h.Settings.Warm.Sheds, Steps: h.Settings.Warm.Steps,
-	})
+	w.reset()
 	w.open()
 	return w
 }
@@ -117,9 +113,37 @@
 	w.refresh()
 }
 
-// run takes messages until ctx ends or the target is no longer published.
+// String says what the duty does, in lower case.
+func (w *worker) String() string { return "sending to target " + string(w.target.ID()) }
+
+// Run takes messages until ctx ends or the target is no longer published.
+func (w *worker) Run(ctx context.Context) error {
+	w.reset()
+	w.run(ctx)
+	w.host.pool.Close(w.target.ID())
+	return nil
+}
+
+// reset gives up every job that a run which failed has left behind, and takes
+// the target for cold.
+func (w *worker) reset() {
+	for id, j := range w.jobs {
+		w.answer(j, magnoliashore.Lose(j.sub, magnoliashore.ReasonFault))
+		j.withdrawn = true
+		delete(w.jobs, id)
+	}
+	w.queue = w.host.newQueue(w.row.Queue())
+	w.belief = w.newBelief()
+}
+
+func (w *worker) newBelief() *warm.Belief {
+	return warm.New(warm.Config{
+		Cold: w.row.Cold(), Slots: w.row.Slots(), Fresh: w.host.Settings.Warm.Fresh,
+		Jump: w.host.Settings.Warm.Jump, Sheds: w.host.Settings.Warm.Sheds, Steps: w.host.Settings.Warm.Steps,
+	})
+}
+
 func (w *worker) run(ctx context.Context) {
-	defer w.host.pool.Close(w.target.ID())
 	var sweep *timer.Subscription
 	var sweeps <-chan time.Time
 	for {
@@ -401,8 +425,11 @@
 // cut short stays taken for as long as the target may still work on it.
 func (w *worker) finish(ctx context.Context, m finished) {
 	now := w.host.Timer.Now()
-	delete(w.jobs, m.job.id)
 	w.free(ctx, now, m)
+	if _, known := w.jobs[m.job.id]; !known {
+		return // given up by a reset
+	}
+	delete(w.jobs, m.job.id)
 	w.belief.Learn(now, m.evidence)
 	if m.evidence.Healthy {
 		w.queue.Ran(m.evidence.Took)
--- a/entry/workers.go
+++ b/entry/workers.go
@@ -73,7 +73,7 @@
 	if w.list[id] == nil {
 		w.list[id] = newWorker(w.host, t, row)
 		duty := w.list[id]
-		w.duties.Go(func() { duty.run(w.life) })
+		w.duties.Go(func() { _ = w.host.guard(w.life, duty) })
 	}
 	return w.list[id], magnoliashore.ReasonNone
 }
