--- a/proof/relay_test.go
+++ b/proof/relay_test.go
@@ -19,6 +19,7 @@
 	cond  *sync.Cond
 	rules map[string]rule // by the seat that dials; "" is the rule for all
 	open  map[net.Conn]string
+	held  int // connections whose bytes wait now, each way for itself
 }
 
 // rule says what happens to the bytes of a connection. Held bytes wait until
@@ -144,10 +145,20 @@
 		if now.refuse || !held(now) {
 			return
 		}
+		r.held++
 		r.cond.Wait()
+		r.held--
 	}
 }
 
+// heldNow returns how many connections have bytes that wait, each way for
+// itself.
+func (r *relay) heldNow() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held
+}
+
 // split cuts every connection between the two sides, both ways.
 func split(a, b []*seat) {
 	each(a, b, func(from, to *seat) { to.relay.set(string(from.host), rule{refuse: true}) })
--- /dev/null
+++ b/proof/snapshot_test.go
@@ -0,0 +1,236 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/caller/client"
+	"github.com/magnoliashore/magnoliashore/operator"
+	"github.com/magnoliashore/magnoliashore/standin"
+)
+
+// archive is the load of the snapshot tests.
+var archive = stream{group: "archive", period: 6 * time.Millisecond, deadline: 400 * time.Millisecond}
+
+const (
+	faultLength = 250 * time.Millisecond // of each fault of a target
+	retireStep  = 20 * time.Millisecond  // between the targets that retire a snapshot
+	calm        = 500 * time.Millisecond
+)
+
+// anyPartition lets a target serve whatever partition it is asked for.
+func anyPartition(config *standin.TargetConfig) { config.Partitions = nil }
+
+// targetsOf returns the targets of the services with a prefix.
+func (c *cell) targetsOf(prefix string) []*standin.Target {
+	var list []*standin.Target
+	for _, target := range c.fleet.Targets {
+		if strings.HasPrefix(target.Config().Service, prefix) {
+			list = append(list, target)
+		}
+	}
+	return list
+}
+
+// withArchive returns the layout with one more snapshot of the archive.
+func withArchive(layout magnoliashore.Layout, id magnoliashore.SnapshotID, partitions []magnoliashore.Partition) magnoliashore.Layout {
+	return magnoliashore.NewLayout(magnoliashore.LayoutSpec{
+		Cell: layout.Cell(), Seats: layout.Seats(), Former: layout.Former(), Targets: layout.Targets(),
+		Snapshots: append(layout.Snapshots(), magnoliashore.NewSnapshot(id, "archive", partitions)),
+	})
+}
+
+// again returns the partitions of the archive's first snapshot.
+func again(layout magnoliashore.Layout) []magnoliashore.Partition {
+	for _, s := range layout.Snapshots() {
+		if s.Group() == "archive" && s.ID() == 1 {
+			return s.Partitions()
+		}
+	}
+	return nil
+}
+
+// repartitioned returns four other partitions, each on three targets.
+func (c *cell) repartitioned() []magnoliashore.Partition {
+	const count = 4
+	targets := make([][]magnoliashore.TargetID, count)
+	for i, target := range c.targetsOf("archive") {
+		targets[i%count] = append(targets[i%count], magnoliashore.TargetID(target.Config().ID))
+	}
+	var list []magnoliashore.Partition
+	for i, ids := range targets {
+		name := magnoliashore.PartitionID(fmt.Sprintf("other-%d", i+1))
+		list = append(list, magnoliashore.NewPartition(name, "archive", ids))
+	}
+	return list
+}
+
+// retire lets the archive's targets change their snapshots one after another.
+func (c *cell) retire(snapshots ...uint64) {
+	for _, target := range c.targetsOf("archive") {
+		target.SetSnapshots(snapshots...)
+		time.Sleep(retireStep)
+	}
+}
+
+// hurt gives each fault to the target that is busiest then and returns when
+// replies were wrong.
+func (c *cell) hurt() []faulty {
+	var list []faulty
+	for _, fault := range standin.Faults() {
+		if fault != standin.FaultNone {
+			list = append(list, c.hurtOne(c.busiest("archive"), fault))
+		}
+	}
+	return list
+}
+
+// busiest returns the target with the most work in the time just past.
+func (c *cell) busiest(prefix string) *standin.Target {
+	var found *standin.Target
+	most := -1
+	for _, target := range c.targetsOf(prefix) {
+		match := func(config standin.TargetConfig) bool { return config.ID == target.Config().ID }
+		if n := c.newWork(time.Now().Add(-faultLength), time.Now(), match); n > most {
+			found, most = target, n
+		}
+	}
+	return found
+}
+
+func (c *cell) hurtOne(target *standin.Target, fault string) faulty {
+	c.t.Helper()
+	if err := target.SetFault(fault); err != nil {
+		c.t.Errorf("fault: got %v, want none", err)
+	}
+	from := time.Now()
+	time.Sleep(faultLength)
+	to := time.Now()
+	_ = target.SetFault(standin.FaultNone)
+	if fault == standin.FaultSlow {
+		return faulty{}
+	}
+	return faulty{target: magnoliashore.TargetID(target.Config().ID), from: from, to: to}
+}
+
+// TestOneSnapshotAndTrueCoverage publishes snapshots, retires them and gives
+// targets faults under load, and recomputes every answer.
+func TestOneSnapshotAndTrueCoverage(t *testing.T) {
+	t.Parallel()
+	c := (&cell{shape: small(), hosts: 3, target: anyPartition}).start(t)
+	c.heat("archive")
+	first := c.layout()
+	second := withArchive(first, 2, again(first))
+	third := withArchive(second, 3, c.repartitioned())
+
+	l := c.ask(c.client(), archive, archive)
+	time.Sleep(calm)
+	faults := c.hurt()
+	c.retire(1, 2)
+	c.publishLayout(second)
+	c.retire(2) // while some hosts still plan on the first
+	faults = append(faults, c.hurt()...)
+	c.retire(2, 3)
+	c.publishLayout(third)
+	time.Sleep(calm)
+	faults = append(faults, c.hurt()...)
+	c.retire(3)
+	time.Sleep(calm)
+	list := l.end()
+
+	tr := c.truth(faults, first, second, third)
+	snapshots := make(map[magnoliashore.SnapshotID]int)
+	partial := 0
+	for _, one := range list {
+		if one.answer.Outcome() != magnoliashore.OutcomeRan {
+			continue
+		}
+		tr.check(t, one.answer, "archive")
+		snapshots[one.answer.Snapshot()]++
+		if !one.answer.Coverage().Complete() {
+			partial++
+		}
+	}
+	t.Logf("%s, partial %d, by snapshot %v", summary(list), partial, snapshots)
+	for id := range magnoliashore.SnapshotID(3) {
+		if got, want := snapshots[id+1], 50; got < want {
+			t.Errorf("answers of snapshot %d: got %d, want at least %d", id+1, got, want)
+		}
+	}
+	tr.checkFaultsMet(t, c.ledger())
+}
+
+// checkFaultsMet fails the test if a fault met no request.
+func (tr *truth) checkFaultsMet(t *testing.T, ledger []standin.Entry) {
+	t.Helper()
+	for _, f := range tr.faults {
+		met := f.target == ""
+		for _, e := range ledger {
+			met = met || e.Begun() && e.Target() == f.target && e.Start().After(f.from) && e.Start().Before(f.to)
+		}
+		if !met {
+			t.Errorf("fault of %s: got no request in its time, want some", f.target)
+		}
+	}
+}
+
+// TestQueryRestartsOnTheNewerSnapshot holds the sub-requests of a query until
+// its snapshot is retired.
+func TestQueryRestartsOnTheNewerSnapshot(t *testing.T) {
+	t.Parallel()
+	relays := make(map[string]*relay)
+	c := &cell{shape: small(), hosts: 3}
+	c.reach = func(id, address string) string {
+		if relays[id] == nil {
+			relays[id] = startRelay(t, address)
+		}
+		return relays[id].address
+	}
+	c.start(t)
+	c.heat("archive")
+	first := c.layout()
+	second := withArchive(first, 2, again(first))
+	for _, r := range relays {
+		r.set("", rule{holdTo: true})
+	}
+	answers := make(chan told, 1)
+	go func() {
+		answer, err := c.client(c.seats[0]).Query(t.Context(), client.Request{
+			Group: "archive", Body: []byte("{}"), Deadline: 10 * time.Second,
+		})
+		answers <- told{answer: answer, err: err}
+	}()
+	c.await(5*time.Second, "sub-requests are held", func() bool { return c.heldBy(relays) > 0 })
+	version := c.publishLayout(second)
+	c.await(configBound, "the layout is in force", func() bool {
+		status, err := operator.FetchStatus(t.Context(), c.seats[0].operator)
+		return err == nil && status.Layout() == version
+	})
+	for _, target := range c.fleet.Targets {
+		target.SetSnapshots(2)
+	}
+	for _, r := range relays {
+		r.set("", rule{})
+	}
+	one := <-answers
+	if one.answer.Outcome() != magnoliashore.OutcomeRan || one.answer.Snapshot() != 2 || !one.answer.Coverage().Complete() {
+		t.Errorf("answer: got %v of snapshot %d, %d of %d (%v), want ran, snapshot 2, complete", one.answer.Outcome(),
+			one.answer.Snapshot(), one.answer.Coverage().Covered(), one.answer.Coverage().Total(), one.err)
+	}
+	c.truth(nil, first, second).check(t, one.answer, "archive")
+	if !strings.Contains(c.timeline(), "query-restarted") {
+		t.Error("time line: got no query-restarted, want one")
+	}
+}
+
+// heldBy returns how many pieces of bytes wait in the relays.
+func (c *cell) heldBy(relays map[string]*relay) int {
+	n := 0
+	for _, r := range relays {
+		n += r.heldNow()
+	}
+	return n
+}
