feat(load): open-loop experiments that compare policies

Cause: there was no tool that sends queries on schedule whatever the answers do, so waiting was not counted and policies could not be compared. Ruled out: extending try, which sends by ticks that a slow process skips. Change: package load reads an experiment, runs each policy on a fresh cell of package local, or on running processes, and compares the answers with the targets' ledgers; command load.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -41,6 +41,7 @@
 	root.cmd.AddCommand(
 		newCheckCmd().cmd,
 		newInitCmd().cmd,
+		newLoadCmd().cmd,
 		newQueryCmd().cmd,
 		newServeCmd().cmd,
 		newTableCmd().cmd,
--- /dev/null
+++ b/load/plot.go
@@ -0,0 +1,168 @@
+package load
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+// Sizes of a plot.
+const (
+	plotWidth   = 24 * vg.Centimeter
+	plotHeight  = 18 * vg.Centimeter
+	plotMargin  = 8 * vg.Millimeter
+	plotGap     = 6 * vg.Millimeter
+	lineWidth   = 1.6 // points
+	plotPerm    = 0o755
+	legendSpace = 1.35 // share of the highest value that the axis shows
+)
+
+// colours of the policies; they differ also for colour-blind readers.
+func colours() []color.Color {
+	return []color.Color{
+		color.RGBA{R: 0, G: 114, B: 178, A: 255},
+		color.RGBA{R: 213, G: 94, B: 0, A: 255},
+		color.RGBA{R: 0, G: 158, B: 115, A: 255},
+		color.RGBA{R: 204, G: 121, B: 167, A: 255},
+		color.RGBA{R: 90, G: 90, B: 90, A: 255},
+	}
+}
+
+// Plot writes a PNG file for each group into the directory, which it makes if
+// needed: the 99th percentile of latency, and the coverage, over time.
+func (r Report) Plot(dir string) error {
+	if err := os.MkdirAll(dir, plotPerm); err != nil {
+		return magnoliashore.Step(err, "make the directory of plots", dir)
+	}
+	for i, g := range r.experiment.groups {
+		name := filepath.Join(dir, r.experiment.name+"-"+string(g.name)+".png")
+		if err := r.plotGroup(i, name); err != nil {
+			return magnoliashore.Step(err, "plot", name)
+		}
+	}
+	return nil
+}
+
+func (r Report) plotGroup(index int, name string) error {
+	g := r.experiment.groups[index]
+	upper, err := r.curves(index, func(c *count) float64 {
+		if c.latency.TotalCount() == 0 {
+			return math.NaN()
+		}
+		return millis(quantile(c, 99))
+	})
+	if err != nil {
+		return err
+	}
+	upper.Title.Text = fmt.Sprintf("%s: group %s, %g queries/s, deadline %v", r.experiment.name, g.name, g.rate, g.deadline)
+	upper.Y.Label.Text = "p99 latency (ms)"
+	upper.Y.Min = 0
+	upper.Y.Max *= legendSpace
+	lower, err := r.curves(index, func(c *count) float64 {
+		if c.ran == 0 {
+			return math.NaN()
+		}
+		return 100 * c.share / float64(c.ran)
+	})
+	if err != nil {
+		return err
+	}
+	lower.Y.Label.Text = "mean coverage (%)"
+	lower.X.Label.Text = "time (s)"
+	lower.Y.Max = 100.5
+	lower.Y.Min = math.Min(lower.Y.Min, 95) - 0.5
+	lower.Legend = plot.NewLegend()
+	for _, p := range []*plot.Plot{upper, lower} {
+		if err := r.marks(p); err != nil {
+			return err
+		}
+	}
+	return save(name, upper, lower)
+}
+
+// curves returns a plot with one line a policy.
+func (r Report) curves(index int, value func(c *count) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Add(plotter.NewGrid())
+	p.X.Min = 0
+	p.X.Max = r.experiment.length.Seconds()
+	p.Legend.Top = true
+	for i, f := range r.results {
+		points := make(plotter.XYs, 0, len(f.recorder.slots[index]))
+		for n, c := range f.recorder.slots[index] {
+			y := value(c)
+			if math.IsNaN(y) {
+				continue
+			}
+			points = append(points, plotter.XY{X: (float64(n) + 0.5) * slotLength.Seconds(), Y: y})
+		}
+		if len(points) == 0 {
+			continue
+		}
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, err
+		}
+		drawn.Color = colours()[i%len(colours())]
+		drawn.Width = vg.Points(lineWidth)
+		p.Add(drawn)
+		p.Legend.Add(f.policy, drawn)
+	}
+	return p, nil
+}
+
+// marks draws a vertical line with a label at each fault.
+func (r Report) marks(p *plot.Plot) error {
+	low, high := p.Y.Min, p.Y.Max
+	for i, f := range r.experiment.faults {
+		x := f.at.Seconds()
+		mark, err := plotter.NewLine(plotter.XYs{{X: x, Y: low}, {X: x, Y: high}})
+		if err != nil {
+			return err
+		}
+		mark.Color = color.Gray{Y: 120}
+		mark.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		p.Add(mark)
+		// Labels of faults that are close together stand at different heights.
+		height := low + (high-low)*(0.96-0.06*float64(i%4))
+		label, err := plotter.NewLabels(plotter.XYLabels{
+			XYs: plotter.XYs{{X: x, Y: height}}, Labels: []string{" " + f.label()},
+		})
+		if err != nil {
+			return err
+		}
+		p.Add(label)
+	}
+	return nil
+}
+
+// save draws both plots, one above the other with aligned axes.
+func save(name string, upper, lower *plot.Plot) error {
+	canvas := vgimg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{
+		Rows: 2, Cols: 1, PadY: plotGap,
+		PadTop: plotMargin, PadBottom: plotMargin, PadLeft: plotMargin, PadRight: plotMargin,
+	}
+	plots := [][]*plot.Plot{{upper}, {lower}}
+	canvases := plot.Align(plots, tiles, draw.New(canvas))
+	for i := range plots {
+		plots[i][0].Draw(canvases[i][0])
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(file)
+	return errors.Join(err, file.Close())
+}
--- /dev/null
+++ b/load/remote.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/caller/client"
+	"github.com/magnoliashore/magnoliashore/operator"
+	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/standin"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// Bounds of calls to the operator's side of the targets.
+const (
+	fleetTimeout = 10 * time.Second
+	maxLedger    = 1 << 30 // bytes
+	maxEntry     = 1 << 16 // bytes of one ledger entry
+)
+
+// remoteSite is a system that runs in other processes.
+type remoteSite struct {
+	experiment Experiment
+	policy     policy
+	clock      *timer.Service
+	direct     *direct
+}
+
+func newRemoteSite(e Experiment, p policy, clock *timer.Service) *remoteSite {
+	return &remoteSite{experiment: e, policy: p, clock: clock}
+}
+
+// start checks that every entry host whose admin address is known answers.
+func (s *remoteSite) start(ctx context.Context) error {
+	for _, address := range s.experiment.remote.operators {
+		if _, err := operator.FetchStatus(ctx, address); err != nil {
+			return err
+		}
+	}
+	if !s.policy.direct {
+		return nil
+	}
+	layout, err := s.layout(ctx)
+	if err != nil {
+		return err
+	}
+	s.direct = newDirect(s.clock, layout, rows(s.experiment.shape))
+	return nil
+}
+
+func (s *remoteSite) stop() error {
+	if s.direct != nil {
+		s.direct.close()
+	}
+	return nil
+}
+
+func (s *remoteSite) asker() asker {
+	if s.direct != nil {
+		return s.direct
+	}
+	var list callers
+	for _, zone := range s.experiment.shape.Zones() {
+		list = append(list, &client.Client{
+			Seeds: s.experiment.remote.entries, Zone: magnoliashore.ZoneName(zone), Clock: s.clock,
+		})
+	}
+	return list
+}
+
+func (s *remoteSite) layout(ctx context.Context) (magnoliashore.Layout, error) {
+	value, err := s.read(ctx, platform.LayoutKey(s.experiment.shape.Cell()))
+	if err != nil {
+		return magnoliashore.Layout{}, err
+	}
+	return platform.DecodeLayout(value.Version(), value.Data())
+}
+
+func (s *remoteSite) table(ctx context.Context) ([]byte, error) {
+	value, err := s.read(ctx, platform.TableKey(s.experiment.shape.Cell()))
+	return value.Data(), err
+}
+
+func (s *remoteSite) read(ctx context.Context, key string) (magnoliashore.Value, error) {
+	reader := &platform.Client{Address: s.experiment.remote.platform, HTTP: &http.Client{Timeout: fleetTimeout}}
+	value, err := reader.Read(ctx, key)
+	return value, magnoliashore.Step(err, "read "+key, s.experiment.remote.platform)
+}
+
+func (s *remoteSite) admin() standin.AdminClient {
+	return standin.AdminClient{Address: s.experiment.remote.admin}
+}
+
+func (s *remoteSite) publish(ctx context.Context, key string, data []byte) error {
+	_, err := s.admin().Publish(ctx, key, data)
+	return err
+}
+
+func (s *remoteSite) mode(ctx context.Context, mode standin.Mode) error {
+	return s.admin().SetMode(ctx, mode)
+}
+
+func (s *remoteSite) leave(host string) error {
+	return errors.Newf("entry host %s runs in another process", host)
+}
+
+func (s *remoteSite) act(ctx context.Context, target string, do action, snapshots []uint64) error {
+	path := "/target/" + target + "/" + string(do)
+	if do == actionSnapshot {
+		var numbers []string
+		for _, n := range snapshots {
+			numbers = append(numbers, strconv.FormatUint(n, 10))
+		}
+		path = "/target/" + target + "/snapshots/" + strings.Join(numbers, ",")
+	}
+	return s.call(ctx, http.MethodPost, path, func(io.Reader) error { return nil })
+}
+
+func (s *remoteSite) ledger(ctx context.Context) ([]record, error) {
+	var list []record
+	err := s.call(ctx, http.MethodGet, "/ledger", func(body io.Reader) error {
+		lines := bufio.NewScanner(body)
+		lines.Buffer(make([]byte, 0, maxEntry), maxEntry)
+		for lines.Scan() {
+			var wire wireRecord
+			if err := json.Unmarshal(lines.Bytes(), &wire); err != nil {
+				return err
+			}
+			list = append(list, wire.record())
+		}
+		return lines.Err()
+	})
+	return list, err
+}
+
+// call makes a call to the operator's side of the targets.
+func (s *remoteSite) call(ctx context.Context, method, path string, take func(body io.Reader) error) error {
+	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
+	defer cancel()
+	address := s.experiment.remote.fleet
+	target := url.URL{Scheme: "http", Host: address, Path: path}
+	request, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	if err != nil {
+		return magnoliashore.Step(err, "call "+path, address)
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return magnoliashore.Step(err, "call "+path, address)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode != http.StatusOK {
+		return magnoliashore.Step(errors.Newf("HTTP status %d; needed is 200", reply.StatusCode), "call "+path, address)
+	}
+	return magnoliashore.Step(take(io.LimitReader(reply.Body, maxLedger)), "call "+path, address)
+}
