--- a/cmd/load.go
+++ b/cmd/load.go
@@ -15,6 +15,7 @@
 	cmd    *cobra.Command
 	output outputOption
 	plot   string
+	trace  int
 }
 
 func newLoadCmd() *loadCmd {
@@ -27,6 +28,7 @@
 	}
 	c.output.add(c.cmd)
 	c.cmd.Flags().StringVar(&c.plot, "plot", "", "directory for PNG plots; empty means none")
+	c.cmd.Flags().IntVar(&c.trace, "trace", 0, "slowest queries of each policy and group to trace on the standard error output")
 	return c
 }
 
@@ -51,7 +53,7 @@
 	if report.Queries() == 0 {
 		return errors.New("no query was counted")
 	}
-	if err := c.draw(report); err != nil {
+	if err := errors.Join(c.draw(report), report.WriteTrace(cmd.ErrOrStderr(), c.trace)); err != nil {
 		return err
 	}
 	if asJSON {
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -38,9 +38,10 @@
 type count struct {
 	queries, ran, refused, unknown int
 	good, complete                 int
-	share, lowest                  float64 // coverage: sum, and the lowest
-	subs, partitions               int     // of the answers that ran
-	reasons                        map[magnoliashore.Reason]int
+	share, lowest                  float64                      // coverage: sum, and the lowest
+	subs, partitions               int                          // of the answers that ran
+	reasons                        map[magnoliashore.Reason]int // of refusals
+	missing                        map[magnoliashore.Reason]int // of partitions that answers do not cover
 	latency                        *hdrhistogram.Histogram
 }
 
@@ -48,6 +49,7 @@
 	return &count{
 		lowest:  1,
 		reasons: make(map[magnoliashore.Reason]int),
+		missing: make(map[magnoliashore.Reason]int),
 		latency: hdrhistogram.New(lowestLatency, highestLatency, digits),
 	}
 }
@@ -80,6 +82,9 @@
 	if answer.Coverage().Complete() {
 		c.complete++
 	}
+	for _, miss := range answer.Coverage().Missing() {
+		c.missing[miss.Reason()]++
+	}
 	c.subs += answer.Subs()
 	c.partitions += answer.Coverage().Total()
 }
@@ -99,6 +104,9 @@
 	for reason, n := range other.reasons {
 		c.reasons[reason] += n
 	}
+	for reason, n := range other.missing {
+		c.missing[reason] += n
+	}
 	c.latency.Merge(other.latency)
 }
 
@@ -110,6 +118,7 @@
 	groups []*count
 	slots  [][]*count // by group and step of time
 	told   map[magnoliashore.QueryID]magnoliashore.Outcome
+	traces [][]traced              // by group
 	late   *hdrhistogram.Histogram // how late queries were sent
 }
 
@@ -117,6 +126,7 @@
 	r := &recorder{
 		warmup: e.warmup,
 		told:   make(map[magnoliashore.QueryID]magnoliashore.Outcome),
+		traces: make([][]traced, len(e.groups)),
 		late:   hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
 	}
 	steps := int((e.length + slotLength - 1) / slotLength)
@@ -151,5 +161,6 @@
 		return
 	}
 	r.groups[a.group].add(o)
+	r.traces[a.group] = append(r.traces[a.group], traced{id: id, due: a.at - r.warmup, outcome: o})
 	r.slots[a.group][(a.at-r.warmup)/slotLength].add(o)
 }
--- a/load/report.go
+++ b/load/report.go
@@ -15,7 +15,9 @@
 // result is what one policy gave.
 type result struct {
 	policy   string
+	begin    time.Time // of the counted time
 	recorder *recorder
+	records  []record
 	audit    audit
 }
 
@@ -35,6 +37,7 @@
 	coverage, lowest, complete     float64 // shares
 	extra                          float64 // sub-requests above one per partition, a share
 	reasons                        map[magnoliashore.Reason]int
+	missing                        map[magnoliashore.Reason]int
 }
 
 func newReport(e Experiment) Report { return Report{experiment: e} }
@@ -74,7 +77,8 @@
 func (r *Report) row(policy, kind, name string, c *count) row {
 	out := row{
 		policy: policy, kind: kind, name: name,
-		queries: c.queries, ran: c.ran, refused: c.refused, unknown: c.unknown, reasons: c.reasons,
+		queries: c.queries, ran: c.ran, refused: c.refused, unknown: c.unknown,
+		reasons: c.reasons, missing: c.missing,
 		goodput: float64(c.good) / r.experiment.length.Seconds(),
 		p50:     quantile(c, 50), p99: quantile(c, 99), p999: quantile(c, 99.9),
 		lowest: c.lowest,
--- a/load/reportjson.go
+++ b/load/reportjson.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
 )
 
 type wireReport struct {
@@ -36,6 +38,7 @@
 	Complete float64        `json:"complete"`
 	Extra    float64        `json:"extra"`
 	Reasons  map[string]int `json:"reasons"`
+	Missing  map[string]int `json:"missing"`
 }
 
 // wireAudit has times in milliseconds.
@@ -98,10 +101,15 @@
 		Queries: row.queries, Ran: row.ran, Refused: row.refused, Unknown: row.unknown, Goodput: row.goodput,
 		P50: millis(row.p50), P99: millis(row.p99), P999: millis(row.p999),
 		Coverage: row.coverage, Lowest: row.lowest, Complete: row.complete, Extra: row.extra,
-		Reasons: make(map[string]int, len(row.reasons)),
+		Reasons: texts(row.reasons), Missing: texts(row.missing),
 	}
-	for reason, n := range row.reasons {
-		out.Reasons[string(reason)] = n
+	return out
+}
+
+func texts(reasons map[magnoliashore.Reason]int) map[string]int {
+	out := make(map[string]int, len(reasons))
+	for reason, n := range reasons {
+		out[string(reason)] = n
 	}
 	return out
 }
--- a/load/reporttext.go
+++ b/load/reporttext.go
@@ -29,11 +29,11 @@
 
 func (r Report) writeRows(w io.Writer) {
 	line(w, "policy", "kind", "name", "queries", "ran", "refused", "unknown", "good/s", "p50", "p99", "p99.9",
-		"coverage", "lowest", "complete", "extra", "reasons")
+		"coverage", "lowest", "complete", "extra", "refused for", "missing for")
 	for _, row := range r.rows {
 		line(w, row.policy, row.kind, row.name, row.queries, row.ran, row.refused, row.unknown,
 			fmt.Sprintf("%.1f", row.goodput), ms(row.p50), ms(row.p99), ms(row.p999),
-			percent(row.coverage), percent(row.lowest), percent(row.complete), percent(row.extra), reasonText(row.reasons))
+			percent(row.coverage), percent(row.lowest), percent(row.complete), percent(row.extra), reasonText(row.reasons), reasonText(row.missing))
 	}
 }
 
--- a/load/runner.go
+++ b/load/runner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -26,11 +27,19 @@
 	Experiment Experiment
 	Progress   io.Writer // takes a line for each policy; may be nil
 	Clock      *timer.Service
+
+	stopping errgroup.Group
 }
 
 // Run runs every policy, one after another, and returns what it measured. The
-// error names the policy and the step that failed.
+// error names the policy and the step that failed. A cell that has no load any
+// more stops while the next one starts.
 func (r *Runner) Run(ctx context.Context) (Report, error) {
+	report, err := r.run(ctx)
+	return report, errors.CombineErrors(err, r.stopping.Wait())
+}
+
+func (r *Runner) run(ctx context.Context) (Report, error) {
 	report := newReport(r.Experiment)
 	for _, p := range r.Experiment.policies {
 		r.say("policy " + p.name)
@@ -66,17 +75,18 @@
 	s := r.site(p)
 	// The site lives on after its start, until stop.
 	life, end := context.WithCancel(ctx)
-	defer end()
-	err := startWithin(life, end, r.Clock, s)
-	if err != nil {
-		return result{}, errors.CombineErrors(magnoliashore.Step(err, "start the cell", ""), s.stop())
+	defer r.stopping.Go(func() error {
+		defer end()
+		return magnoliashore.Step(s.stop(), "stop the cell of policy", p.name)
+	})
+	if err := startWithin(life, end, r.Clock, s); err != nil {
+		return result{}, magnoliashore.Step(err, "start the cell", "")
 	}
 	run := newRun(r.Experiment, p, s, r.Clock)
-	err = run.load(ctx)
-	if err == nil {
-		err = run.inspect(ctx)
+	if err := run.load(ctx); err != nil {
+		return result{}, err
 	}
-	err = errors.CombineErrors(err, magnoliashore.Step(s.stop(), "stop the cell", ""))
+	err := run.inspect(ctx)
 	return run.result, err
 }
 
@@ -201,11 +211,14 @@
 		zones[t.ID] = t.Zone
 	}
 	begin := r.start.Add(r.experiment.warmup)
+	records = r.own(records)
 	a := &auditor{
-		records: r.own(records), told: r.recorder.told, faults: r.injector.happened(), zones: zones,
+		records: records, told: r.recorder.told, faults: r.injector.happened(), zones: zones,
 		begin: begin, end: begin.Add(r.experiment.length),
 	}
-	r.result = result{policy: r.policy.name, recorder: r.recorder, audit: a.audit()}
+	r.result = result{
+		policy: r.policy.name, begin: begin, recorder: r.recorder, records: records, audit: a.audit(),
+	}
 	return nil
 }
 
--- /dev/null
+++ b/load/trace.go
@@ -0,0 +1,72 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+// traced is one counted query with when it was due and what became of it.
+type traced struct {
+	id      magnoliashore.QueryID
+	due     time.Duration // after the end of the warm-up
+	outcome outcome
+}
+
+// WriteTrace writes the slowest counted queries of each policy and group, at
+// most n each, every one with the requests that the targets recorded for it.
+// Times are milliseconds since the query was due.
+func (r Report) WriteTrace(w io.Writer, n int) error {
+	for _, f := range r.results {
+		byQuery := make(map[magnoliashore.QueryID][]record)
+		for _, rec := range f.records {
+			byQuery[rec.query] = append(byQuery[rec.query], rec)
+		}
+		for i, g := range r.experiment.groups {
+			for _, t := range slowest(f.recorder.traces[i], n) {
+				if err := writeTraced(w, f, string(g.name), t, byQuery[t.id]); err != nil {
+					return errors.Wrap(err, "writing the trace")
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// slowest returns the n queries that took longest.
+func slowest(list []traced, n int) []traced {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b traced) int { return cmp.Compare(b.outcome.took, a.outcome.took) })
+	return list[:min(n, len(list))]
+}
+
+func writeTraced(w io.Writer, f result, group string, t traced, records []record) error {
+	answer := t.outcome.answer
+	_, err := fmt.Fprintf(w, "%s %s %s due %v took %s %v subs %d covered %d/%d %s\n",
+		f.policy, group, t.id, t.due.Round(time.Millisecond), ms(t.outcome.took), answer.Outcome(), answer.Subs(),
+		answer.Coverage().Covered(), answer.Coverage().Total(), answer.Reason())
+	if err != nil {
+		return err
+	}
+	for _, miss := range answer.Coverage().Missing() {
+		if _, err := fmt.Fprintf(w, "    missing %s: %s\n", miss.Partition(), miss.Reason()); err != nil {
+			return err
+		}
+	}
+	due := f.begin.Add(t.due)
+	slices.SortFunc(records, func(a, b record) int { return a.end.Compare(b.end) })
+	for _, rec := range records {
+		_, err := fmt.Fprintf(w, "    %-12s %8s to %8s %-9s running %d cold %v %s\n", rec.target,
+			ms(rec.start.Sub(due)), ms(rec.end.Sub(due)), rec.result, rec.running, rec.cold, rec.reason)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
