--- a/load/codec.go
+++ b/load/codec.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"time"
+	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
@@ -14,20 +14,22 @@
 // maxFile is the most bytes that an experiment file may have.
 const maxFile = 1 << 20
 
+// wireExperiment is the file. Times are text with a unit, so that the message
+// about a wrong one can name its line.
 type wireExperiment struct {
-	Name     string        `yaml:"name"`
-	Seed     uint64        `yaml:"seed"`
-	Shape    wireShape     `yaml:"shape"`
-	Embedded bool          `yaml:"embedded"`
-	Hosts    int           `yaml:"hosts"`
-	Remote   wireRemote    `yaml:"remote"`
-	Warmup   time.Duration `yaml:"warmup"`
-	Length   time.Duration `yaml:"length"`
-	Groups   []wireGroup   `yaml:"groups"`
-	Targets  wireTune      `yaml:"targets"`
-	Faults   []wireFault   `yaml:"faults"`
-	Policies []wirePolicy  `yaml:"policies"`
-	Against  string        `yaml:"against"`
+	Name     string       `yaml:"name"`
+	Seed     uint64       `yaml:"seed"`
+	Shape    wireShape    `yaml:"shape"`
+	Embedded bool         `yaml:"embedded"`
+	Hosts    int          `yaml:"hosts"`
+	Remote   wireRemote   `yaml:"remote"`
+	Warmup   string       `yaml:"warmup"`
+	Length   string       `yaml:"length"`
+	Groups   []wireGroup  `yaml:"groups"`
+	Targets  wireTune     `yaml:"targets"`
+	Faults   []wireFault  `yaml:"faults"`
+	Policies []wirePolicy `yaml:"policies"`
+	Against  string       `yaml:"against"`
 }
 
 type wireShape struct {
@@ -44,22 +46,22 @@
 }
 
 type wireGroup struct {
-	Group    string        `yaml:"group"`
-	Rate     float64       `yaml:"rate"`
-	Deadline time.Duration `yaml:"deadline"`
-	Best     int           `yaml:"best"`
-	Once     bool          `yaml:"once"`
+	Group    string  `yaml:"group"`
+	Rate     float64 `yaml:"rate"`
+	Deadline string  `yaml:"deadline"`
+	Best     int     `yaml:"best"`
+	Once     bool    `yaml:"once"`
 }
 
 type wireTune struct {
-	Latency   *time.Duration `yaml:"latency"`
-	Straggle  *float64       `yaml:"straggle"`
-	Straggler *time.Duration `yaml:"straggler"`
+	Latency   string   `yaml:"latency"`
+	Straggle  *float64 `yaml:"straggle"`
+	Straggler string   `yaml:"straggler"`
 }
 
 type wireFault struct {
-	At time.Duration `yaml:"at"`
-	Do string        `yaml:"do"`
+	At string `yaml:"at"`
+	Do string `yaml:"do"`
 }
 
 type wirePolicy struct {
@@ -83,7 +85,8 @@
 		return Experiment{}, magnoliashore.Step(inLine(err), step, "")
 	}
 	var wire wireExperiment
-	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&wire); err != nil {
+	err = yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&wire)
+	if err != nil && !errors.Is(err, io.EOF) {
 		return Experiment{}, magnoliashore.Step(inLine(err), step, "")
 	}
 	c := &converter{file: file, wire: wire}
--- a/load/convert.go
+++ b/load/convert.go
@@ -70,25 +70,38 @@
 	return node
 }
 
+// time returns the time at path, zero if it is absent, and checks its range.
+func (c *converter) time(path, text string, least, most time.Duration) time.Duration {
+	var d time.Duration
+	if text != "" {
+		var err error
+		d, err = time.ParseDuration(text)
+		if err != nil {
+			c.fail(path, "%q is no time with a unit, such as 400ms or 2s", text)
+			return 0
+		}
+	}
+	c.check(d >= least && d <= most, path, "%v is out of range; allowed is %v to %v", d, least, most)
+	return d
+}
+
 func (c *converter) convert() Experiment {
 	w := c.wire
 	e := Experiment{
-		name: w.Name, seed: w.Seed, embedded: w.Embedded, hosts: w.Hosts,
-		warmup: w.Warmup, length: w.Length, against: w.Against,
-		targets: tune{latency: w.Targets.Latency, straggle: w.Targets.Straggle, straggler: w.Targets.Straggler},
+		name: w.Name, seed: w.Seed, embedded: w.Embedded, hosts: w.Hosts, against: w.Against,
+		warmup: c.time("warmup", w.Warmup, 0, maxWarmup),
+		length: c.time("length", w.Length, minLength, maxLength),
 		remote: remote{
 			entries: w.Remote.Entries, operators: w.Remote.Operators,
 			platform: w.Remote.Platform, admin: w.Remote.Admin, fleet: w.Remote.Fleet,
 		},
 	}
 	c.check(w.Name != "" && !strings.ContainsAny(w.Name, "/ "), "name", "%q is no name; it must not be empty or hold / or spaces", w.Name)
-	c.check(w.Warmup >= 0 && w.Warmup <= maxWarmup, "warmup", "%v is out of range; allowed is 0s to %v", w.Warmup, maxWarmup)
-	c.check(w.Length >= minLength && w.Length <= maxLength, "length", "%v is out of range; allowed is %v to %v", w.Length, minLength, maxLength)
 	e.shape = c.shape()
 	c.place()
-	c.tune()
+	e.targets = c.tune()
 	e.groups = c.groups(e.shape)
-	e.faults = c.timeline(e.shape)
+	e.faults = c.timeline(e)
 	e.policies = c.policies()
 	c.volume(e)
 	known := w.Against == "" || slices.Contains(e.Policies(), w.Against)
@@ -119,16 +132,22 @@
 	c.check(w.Remote.Fleet != "", "remote.fleet", "no address; needed without embedded: true")
 }
 
-func (c *converter) tune() {
-	t := c.wire.Targets
-	set := t.Latency != nil || t.Straggle != nil || t.Straggler != nil
+func (c *converter) tune() tune {
+	w := c.wire.Targets
+	set := w.Latency != "" || w.Straggle != nil || w.Straggler != ""
 	c.check(c.wire.Embedded || !set, "targets", "only the targets of an embedded experiment can be set")
-	for key, value := range map[string]*time.Duration{"latency": t.Latency, "straggler": t.Straggler} {
-		ok := value == nil || *value >= 0 && *value <= maxLatency
-		c.check(ok, "targets."+key, "out of range; allowed is 0s to %v", maxLatency)
-	}
-	ok := t.Straggle == nil || *t.Straggle >= 0 && *t.Straggle <= 1
+	ok := w.Straggle == nil || *w.Straggle >= 0 && *w.Straggle <= 1
 	c.check(ok, "targets.straggle", "out of range; allowed is 0 to 1")
+	t := tune{straggle: w.Straggle}
+	if w.Latency != "" {
+		latency := c.time("targets.latency", w.Latency, 0, maxLatency)
+		t.latency = &latency
+	}
+	if w.Straggler != "" {
+		straggler := c.time("targets.straggler", w.Straggler, 0, maxLatency)
+		t.straggler = &straggler
+	}
+	return t
 }
 
 func (c *converter) groups(shape standin.Shape) []group {
@@ -141,11 +160,11 @@
 		_, ok := known[name]
 		c.check(ok, at+"group", "%q is no group of the shape", w.Group)
 		c.check(w.Rate > 0 && w.Rate <= maxRate, at+"rate", "%g is out of range; allowed is above 0 to %d", w.Rate, maxRate)
-		c.check(w.Deadline >= time.Millisecond && w.Deadline <= maxLength, at+"deadline", "%v is out of range; allowed is 1ms to %v", w.Deadline, maxLength)
+		deadline := c.time(at+"deadline", w.Deadline, time.Millisecond, maxLength)
 		c.check(w.Best >= 0 && w.Best <= maxBest, at+"best", "%d is out of range; allowed is 0 to %d", w.Best, maxBest)
 		again := slices.ContainsFunc(list, func(g group) bool { return g.name == name })
 		c.check(!again, at+"group", "%q is listed twice", w.Group)
-		list = append(list, group{name: name, rate: w.Rate, deadline: w.Deadline, best: w.Best, once: w.Once})
+		list = append(list, group{name: name, rate: w.Rate, deadline: deadline, best: w.Best, once: w.Once})
 	}
 	return list
 }
--- a/load/convertfault.go
+++ b/load/convertfault.go
@@ -15,14 +15,14 @@
 const retireDelay = time.Second
 
 // timeline returns the faults in order of time.
-func (c *converter) timeline(shape standin.Shape) []fault {
+func (c *converter) timeline(e Experiment) []fault {
 	var list []fault
 	for i, w := range c.wire.Faults {
 		at := fmt.Sprintf("faults[%d].", i)
-		c.check(w.At >= 0 && w.At < c.wire.Length, at+"at", "%v is out of range; allowed is 0s to below the length, %v", w.At, c.wire.Length)
-		f := parseFault(w)
-		if fault := f.fault(shape, c.wire); fault != "" {
-			c.fail(at+"do", "%q: %s", w.Do, fault)
+		f := parseFault(w.Do)
+		f.at = c.time(at+"at", w.At, 0, e.length)
+		if wrong := f.wrong(e); wrong != "" {
+			c.fail(at+"do", "%q: %s", w.Do, wrong)
 		}
 		list = append(list, f)
 		if f.do == actionSnapshot {
@@ -33,23 +33,23 @@
 	return list
 }
 
-func parseFault(w wireFault) fault {
-	do, on, _ := strings.Cut(strings.TrimSpace(w.Do), " ")
-	return fault{at: w.At, do: action(do), on: strings.TrimSpace(on)}
+func parseFault(text string) fault {
+	do, on, _ := strings.Cut(strings.TrimSpace(text), " ")
+	return fault{do: action(do), on: strings.TrimSpace(on)}
 }
 
-// fault returns what is wrong with f; empty means nothing.
-func (f fault) fault(shape standin.Shape, wire wireExperiment) string {
+// wrong returns what is wrong with f; empty means nothing.
+func (f fault) wrong(e Experiment) string {
 	switch f.do {
 	case actionZoneOut, actionZoneIn:
-		return oneOf("zone", f.on, shape.Zones())
+		return oneOf("zone", f.on, e.shape.Zones())
 	case actionChill, actionRestart:
-		return oneOf("target", f.on, targetNames(shape))
+		return oneOf("target", f.on, targetNames(e.shape))
 	case actionLeave:
-		if !wire.Embedded {
+		if !e.embedded {
 			return "only the entry hosts of an embedded experiment can be told to leave"
 		}
-		return oneOf("entry host", f.on, hostNames(wire.Hosts))
+		return oneOf("entry host", f.on, hostNames(e.hosts))
 	case actionSnapshot:
 		if f.on != "" {
 			return "nothing may follow"
@@ -73,15 +73,16 @@
 }
 
 func targetNames(shape standin.Shape) []string {
-	var names []string
-	for _, t := range shape.Targets() {
+	targets := shape.Targets()
+	names := make([]string, 0, len(targets))
+	for _, t := range targets {
 		names = append(names, t.ID)
 	}
 	return names
 }
 
 func hostNames(n int) []string {
-	var names []string
+	names := make([]string, 0, n)
 	for i := range n {
 		names = append(names, fmt.Sprintf("e%d", i+1))
 	}
--- a/load/convertpolicy.go
+++ b/load/convertpolicy.go
@@ -43,7 +43,8 @@
 		for _, v := range entries(section.Value) {
 			line := fmt.Sprintf("%s: %s", v.Key, v.Value)
 			if _, err := settings.Load(fmt.Appendf(nil, "%s:\n  %s\n", name, line)); err != nil {
-				c.fail(path+"."+name+"."+v.Key.String(), "%v", err)
+				_, text, _ := strings.Cut(err.Error(), "line 2: ")
+				c.fail(path+"."+name+"."+v.Key.String(), "%s", text)
 				continue
 			}
 			fmt.Fprintf(&text, "  %s\n", line)
--- a/load/directsite.go
+++ b/load/directsite.go
@@ -80,15 +80,13 @@
 // leave does nothing: there is no entry host.
 func (s *directSite) leave(string) error { return nil }
 
-// act changes a target. The snapshots stay, since no newer one is learnt.
-func (s *directSite) act(_ context.Context, target string, do action, _ []uint64) error {
+// act changes a target.
+func (s *directSite) act(_ context.Context, target string, do action, snapshots []uint64) error {
 	t, ok := s.fleet.Target(target)
 	if !ok {
 		return errors.Newf("target %q does not exist", target)
 	}
-	if do != actionSnapshot {
-		actOn(t, do, nil)
-	}
+	actOn(t, do, snapshots)
 	return nil
 }
 
--- a/load/embedded.go
+++ b/load/embedded.go
@@ -47,8 +47,9 @@
 
 // asker returns one client for each availability zone.
 func (s *embedded) asker() asker {
-	var list callers
-	for _, zone := range s.experiment.shape.Zones() {
+	zones := s.experiment.shape.Zones()
+	list := make(callers, 0, len(zones))
+	for _, zone := range zones {
 		c := s.cell.Client()
 		c.Zone = magnoliashore.ZoneName(zone)
 		list = append(list, c)
--- a/load/faults.go
+++ b/load/faults.go
@@ -17,12 +17,10 @@
 // injector does the faults of one policy at their times. Set the exported
 // fields before Run.
 type injector struct {
-	Site  site
-	Clock *timer.Service
-	Cell  string
-	// Faults are done in order; a direct policy has no configuration, so its
-	// zones and snapshots stay as they are.
-	Faults []fault
+	Site   site
+	Clock  *timer.Service
+	Cell   string
+	Faults []fault   // in order of time
 	Start  time.Time // of the counted time
 
 	table  string
@@ -151,7 +149,7 @@
 }
 
 func (i *injector) serve(ctx context.Context, ids []magnoliashore.SnapshotID) error {
-	var numbers []uint64
+	numbers := make([]uint64, 0, len(ids))
 	for _, id := range ids {
 		numbers = append(numbers, uint64(id))
 	}
--- a/load/plot.go
+++ b/load/plot.go
@@ -6,6 +6,8 @@
 	"math"
 	"os"
 	"path/filepath"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
@@ -19,13 +21,29 @@
 
 // Sizes of a plot.
 const (
-	plotWidth   = 24 * vg.Centimeter
-	plotHeight  = 18 * vg.Centimeter
-	plotMargin  = 8 * vg.Millimeter
-	plotGap     = 6 * vg.Millimeter
-	lineWidth   = 1.6 // points
-	plotPerm    = 0o755
-	legendSpace = 1.35 // share of the highest value that the axis shows
+	plotWidth     = 24 * vg.Centimeter
+	plotHeight    = 18 * vg.Centimeter
+	plotMargin    = 8 * vg.Millimeter
+	plotGap       = 6 * vg.Millimeter
+	legendPadding = 1.5 * vg.Millimeter
+	lineWidth     = 1.6 // points
+	maxTicks      = 30
+	plotPerm      = 0o755
+)
+
+// Ranges of the axes.
+const (
+	legendSpace  = 1.35 // shown of the latency axis, as a multiple of the highest value
+	fullCoverage = 100  // percent
+	coverageTop  = 95   // percent; the axis begins here or lower
+	coveragePad  = 0.5  // percent
+)
+
+// Labels of faults stand in rows, so that neighbours do not overlap.
+const (
+	labelTop  = 0.95 // height of the first row, as a share of the axis
+	labelStep = 0.06
+	labelRows = 4
 )
 
 // colours of the policies; they differ also for colour-blind readers.
@@ -56,12 +74,7 @@
 
 func (r Report) plotGroup(index int, name string) error {
 	g := r.experiment.groups[index]
-	upper, err := r.curves(index, func(c *count) float64 {
-		if c.latency.TotalCount() == 0 {
-			return math.NaN()
-		}
-		return millis(quantile(c, 99))
-	})
+	upper, err := r.curves(index, slotLatency)
 	if err != nil {
 		return err
 	}
@@ -69,44 +82,48 @@
 	upper.Y.Label.Text = "p99 latency (ms)"
 	upper.Y.Min = 0
 	upper.Y.Max *= legendSpace
-	lower, err := r.curves(index, func(c *count) float64 {
-		if c.ran == 0 {
-			return math.NaN()
-		}
-		return 100 * c.share / float64(c.ran)
-	})
+	lower, err := r.curves(index, slotCoverage)
 	if err != nil {
 		return err
 	}
 	lower.Y.Label.Text = "mean coverage (%)"
 	lower.X.Label.Text = "time (s)"
-	lower.Y.Max = 100.5
-	lower.Y.Min = math.Min(lower.Y.Min, 95) - 0.5
+	lower.Y.Max = fullCoverage + coveragePad
+	lower.Y.Min = math.Min(lower.Y.Min, coverageTop) - coveragePad
 	lower.Legend = plot.NewLegend()
-	for _, p := range []*plot.Plot{upper, lower} {
-		if err := r.marks(p); err != nil {
-			return err
-		}
+	if err := errors.Join(r.marks(upper, true), r.marks(lower, false)); err != nil {
+		return err
 	}
 	return save(name, upper, lower)
 }
 
+// slotLatency returns the 99th percentile in milliseconds, NaN for none.
+func slotLatency(c *count) float64 {
+	if c.latency.TotalCount() == 0 {
+		return math.NaN()
+	}
+	return millis(quantile(c, 99))
+}
+
+// slotCoverage returns the mean coverage in percent, NaN for none.
+func slotCoverage(c *count) float64 {
+	if c.ran == 0 {
+		return math.NaN()
+	}
+	return fullCoverage * c.share / float64(c.ran)
+}
+
 // curves returns a plot with one line a policy.
 func (r Report) curves(index int, value func(c *count) float64) (*plot.Plot, error) {
 	p := plot.New()
 	p.Add(plotter.NewGrid())
 	p.X.Min = 0
 	p.X.Max = r.experiment.length.Seconds()
+	p.X.Tick.Marker = everySecond(r.experiment.length)
 	p.Legend.Top = true
+	p.Legend.Padding = legendPadding
 	for i, f := range r.results {
-		points := make(plotter.XYs, 0, len(f.recorder.slots[index]))
-		for n, c := range f.recorder.slots[index] {
-			y := value(c)
-			if math.IsNaN(y) {
-				continue
-			}
-			points = append(points, plotter.XY{X: (float64(n) + 0.5) * slotLength.Seconds(), Y: y})
-		}
+		points := curve(f.recorder.slots[index], value)
 		if len(points) == 0 {
 			continue
 		}
@@ -122,8 +139,31 @@
 	return p, nil
 }
 
-// marks draws a vertical line with a label at each fault.
-func (r Report) marks(p *plot.Plot) error {
+// curve returns the value of each step at the middle of the step; steps
+// without a value are left out.
+func curve(slots []*count, value func(c *count) float64) plotter.XYs {
+	points := make(plotter.XYs, 0, len(slots))
+	for n, c := range slots {
+		y := value(c)
+		if !math.IsNaN(y) {
+			points = append(points, plotter.XY{X: (float64(n) + 0.5) * slotLength.Seconds(), Y: y})
+		}
+	}
+	return points
+}
+
+// everySecond returns a tick a second, or fewer on a long axis.
+func everySecond(length time.Duration) plot.ConstantTicks {
+	step := 1 + int(length.Seconds())/maxTicks
+	var ticks plot.ConstantTicks
+	for second := 0; second <= int(length.Seconds()); second += step {
+		ticks = append(ticks, plot.Tick{Value: float64(second), Label: strconv.Itoa(second)})
+	}
+	return ticks
+}
+
+// marks draws a vertical line at each fault, with a label if named is set.
+func (r Report) marks(p *plot.Plot, named bool) error {
 	low, high := p.Y.Min, p.Y.Max
 	for i, f := range r.experiment.faults {
 		x := f.at.Seconds()
@@ -134,8 +174,10 @@
 		mark.Color = color.Gray{Y: 120}
 		mark.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 		p.Add(mark)
-		// Labels of faults that are close together stand at different heights.
-		height := low + (high-low)*(0.96-0.06*float64(i%4))
+		if !named {
+			continue
+		}
+		height := low + (high-low)*(labelTop-labelStep*float64(i%labelRows))
 		label, err := plotter.NewLabels(plotter.XYLabels{
 			XYs: plotter.XYs{{X: x, Y: height}}, Labels: []string{" " + f.label()},
 		})
--- a/load/remote.go
+++ b/load/remote.go
@@ -69,8 +69,9 @@
 	if s.direct != nil {
 		return s.direct
 	}
-	var list callers
-	for _, zone := range s.experiment.shape.Zones() {
+	zones := s.experiment.shape.Zones()
+	list := make(callers, 0, len(zones))
+	for _, zone := range zones {
 		list = append(list, &client.Client{
 			Seeds: s.experiment.remote.entries, Zone: magnoliashore.ZoneName(zone), Clock: s.clock,
 		})
@@ -117,7 +118,7 @@
 func (s *remoteSite) act(ctx context.Context, target string, do action, snapshots []uint64) error {
 	path := "/target/" + target + "/" + string(do)
 	if do == actionSnapshot {
-		var numbers []string
+		numbers := make([]string, 0, len(snapshots))
 		for _, n := range snapshots {
 			numbers = append(numbers, strconv.FormatUint(n, 10))
 		}
--- a/load/reporttext.go
+++ b/load/reporttext.go
@@ -93,7 +93,7 @@
 }
 
 func reasonText(reasons map[magnoliashore.Reason]int) string {
-	var list []string
+	list := make([]string, 0, len(reasons))
 	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
 		list = append(list, fmt.Sprintf("%s=%d", reason, reasons[reason]))
 	}
--- a/load/runner.go
+++ b/load/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -131,11 +132,22 @@
 		start:    start,
 		tokens:   make(chan struct{}, maxOpen),
 		injector: &injector{
-			Site: s, Clock: clock, Cell: e.shape.Cell(), Faults: e.faults, Start: start.Add(e.warmup),
+			Site: s, Clock: clock, Cell: e.shape.Cell(), Faults: faultsOf(e, p), Start: start.Add(e.warmup),
 		},
 	}
 }
 
+// faultsOf returns the faults that concern a policy: without entry hosts only
+// those of the targets.
+func faultsOf(e Experiment, p policy) []fault {
+	if !p.direct {
+		return e.faults
+	}
+	return slices.DeleteFunc(slices.Clone(e.faults), func(f fault) bool {
+		return f.do != actionChill && f.do != actionRestart
+	})
+}
+
 // load sends the schedule and does the faults beside it.
 func (r *run) load(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -26,11 +26,12 @@
 // process each, from the experiment's seed. The same experiment and factor
 // give the same schedule.
 func schedule(e Experiment, factor float64) []arrival {
-	var all []arrival
+	streams := make([][]arrival, len(e.groups))
 	for i, g := range e.groups {
 		random := rand.New(rand.NewPCG(e.seed, uint64(i)))
-		all = append(all, stream(e, i, g.rate*factor, random)...)
+		streams[i] = stream(e, i, g.rate*factor, random)
 	}
+	all := slices.Concat(streams...)
 	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	return all
 }
