--- a/load/audit.go
+++ b/load/audit.go
@@ -20,6 +20,7 @@
 // audit is what the targets' ledgers say of one policy.
 type audit struct {
 	requests    int // that began, in the counted time
+	undone      int // of these, requests that did not run to their end
 	overruns    int // requests that made a cold target fall over
 	toldOver    int // of these, sent after the target had said that it was cold
 	secondRuns  int // second runs of a non-idempotent query on a partition
@@ -68,6 +69,9 @@
 	for _, r := range a.records {
 		if r.begun && !r.start.Before(a.begin) && r.start.Before(a.end) {
 			found.requests++
+			if r.result != standin.ResultDone {
+				found.undone++
+			}
 		}
 		if r.result != standin.ResultOverrun {
 			continue
--- a/load/audit_test.go
+++ b/load/audit_test.go
@@ -30,8 +30,8 @@
 		},
 	}
 	got := a.audit()
-	if got.requests != 5 || got.overruns != 2 || got.toldOver != 1 || got.secondRuns != 1 || got.falseNotrun != 1 {
-		t.Errorf("got %+v, want 5 requests, 2 overruns, 1 told, 1 second run and 1 false notrun", got)
+	if got.requests != 5 || got.undone != 2 || got.overruns != 2 || got.toldOver != 1 || got.secondRuns != 1 || got.falseNotrun != 1 {
+		t.Errorf("got %+v, want 5 requests, 2 undone, 2 overruns, 1 told, 1 second run and 1 false notrun", got)
 	}
 }
 
--- a/load/reportjson.go
+++ b/load/reportjson.go
@@ -45,6 +45,7 @@
 type wireAudit struct {
 	Policy      string     `json:"policy"`
 	Requests    int        `json:"requests"`
+	Undone      int        `json:"undone"`
 	Overruns    int        `json:"overruns"`
 	Told        int        `json:"told"`
 	Second      int        `json:"second"`
@@ -117,7 +118,7 @@
 func (f result) wire() wireAudit {
 	p99, most := f.lateness()
 	out := wireAudit{
-		Policy: f.policy, Requests: f.audit.requests, Overruns: f.audit.overruns, Told: f.audit.toldOver,
+		Policy: f.policy, Requests: f.audit.requests, Undone: f.audit.undone, Overruns: f.audit.overruns, Told: f.audit.toldOver,
 		Second: f.audit.secondRuns, FalseNotrun: f.audit.falseNotrun,
 		LateP99: millis(p99), LateMax: millis(most), Zones: []wireZone{},
 	}
