perf(hedge): bound the learnt delay by twice the median

Cause: traces of the slowest queries under 2% stragglers of 60 ms show hedges 31 to 58 ms after the first send: with few samples a service, one straggler puts the 95th percentile among the stragglers. Ruled out: too little budget (2.00% of 5% used). Change: the delay is the lower of the quantile and twice the median.

--- a/hedge/window.go
+++ b/hedge/window.go
@@ -13,13 +13,16 @@
 	// refreshSamples is how many samples pass between two computations of the
 	// quantile.
 	refreshSamples = 64
+	// medianFactor bounds the delay by a multiple of the median. With few
+	// samples a straggler or two put the quantile itself among the stragglers.
+	medianFactor = 2
 	// longest is the longest latency that the histograms tell apart.
 	longest = time.Minute
 	// digits is the number of significant decimal digits of a latency.
 	digits = 2
 )
 
-// window keeps a quantile over the last windowSamples to 2 x windowSamples
+// window keeps a quantile, bounded by the median, over the last windowSamples to 2 x windowSamples
 // latencies of one service. Both histograms take every sample; each time the
 // younger one is full, the older one is emptied and the two swap.
 type window struct {
@@ -77,9 +80,10 @@
 	if w.ready && w.since < refreshSamples {
 		return
 	}
-	const percent = 100
-	micros := w.older.ValueAtQuantile(w.quantile * percent)
-	w.value = time.Duration(micros) * time.Microsecond
+	const percent, half = 100, 50
+	tail := w.older.ValueAtQuantile(w.quantile * percent)
+	bound := medianFactor * w.older.ValueAtQuantile(half)
+	w.value = time.Duration(min(tail, bound)) * time.Microsecond
 	w.ready = true
 	w.since = 0
 }
