perf(hedge): shorter window, and a second hedge when the first is late too

Cause: traces show hedges at 27 to 52 ms early in a run: a window of 1,024 samples at 25 a second still held the cold start; and hedges that straggle themselves (2%) set the 99th percentile at a fan-out of 20. Change: a window of 200 samples, refreshed every 16; a partition whose hedge is late too is hedged once more, also back to the first target.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -15,6 +15,9 @@
 // maxAttempts is how many sub-requests one partition may cost.
 const maxAttempts = 4
 
+// maxHedged is how many attempts a partition may have had to be hedged again.
+const maxHedged = 3
+
 // attempt is one sub-request that was sent and not yet answered.
 type attempt struct {
 	piece  *piece
@@ -145,9 +148,7 @@
 	}
 	a := g.attempt(p, r, false)
 	batches.add(a)
-	if delay, ok := g.host.hedger.Delay(p.plan.Service().Name()); ok && g.mayHedge(p) {
-		p.hedgeAt = a.at.Add(delay)
-	}
+	g.planHedge(p, a.at)
 }
 
 func (g *gatherer) mayHedge(p *piece) bool {
@@ -323,19 +324,19 @@
 			continue
 		}
 		p.hedgeAt = time.Time{}
-		g.hedgePiece(p)
+		g.hedgePiece(p, now)
 	}
 }
 
-func (g *gatherer) hedgePiece(p *piece) {
-	if p.count >= maxAttempts {
+// hedgePiece asks another target than the attempt before. If that one is late
+// too, the next hedge may go back to the first target.
+func (g *gatherer) hedgePiece(p *piece, now time.Time) {
+	if p.count >= maxHedged {
 		return
 	}
-	others := p.tried
-	for _, tried := range p.tried.routes {
-		others.targets = append(others.targets, tried.target)
-	}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), others, stepOwner)
+	last := p.tried.routes[len(p.tried.routes)-1]
+	without := exclusion{targets: append([]magnoliashore.TargetID{last.target}, p.tried.targets...)}
+	r, ok := g.host.routeTo(g.view, p.plan.Targets(), without, stepOwner)
 	if !ok || r.load.Cold() || r.load.Queue() > r.load.Limit() {
 		return
 	}
@@ -344,6 +345,14 @@
 	}
 	g.host.meters.hedges.Inc()
 	g.sendExtra(p, r)
+	g.planHedge(p, now)
+}
+
+// planHedge sets when the partition is hedged next, if it may be.
+func (g *gatherer) planHedge(p *piece, sent time.Time) {
+	if delay, ok := g.host.hedger.Delay(p.plan.Service().Name()); ok && g.mayHedge(p) {
+		p.hedgeAt = sent.Add(delay)
+	}
 }
 
 // giveUp settles every open partition as missing.
--- a/hedge/window.go
+++ b/hedge/window.go
@@ -9,10 +9,10 @@
 const (
 	// windowSamples is how many samples a histogram takes before the older of
 	// the two is emptied.
-	windowSamples = 1024
+	windowSamples = 200
 	// refreshSamples is how many samples pass between two computations of the
 	// quantile.
-	refreshSamples = 64
+	refreshSamples = 16
 	// medianFactor bounds the delay by a multiple of the median. With few
 	// samples a straggler or two put the quantile itself among the stragglers.
 	medianFactor = 2
