--- a/entry/gather.go
+++ b/entry/gather.go
@@ -8,7 +8,6 @@
 	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/merge"
 	"github.com/magnoliashore/magnoliashore/plan"
-	"github.com/magnoliashore/magnoliashore/ring"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -43,11 +42,12 @@
 	host    *Host
 	query   magnoliashore.Query
 	plan    plan.Plan
-	view    magnoliashore.View
 	merger  *merge.Merger
 	due     time.Time
-	answers *ring.Ring[magnoliashore.SubAnswer]
+	answers *mailbox
+	taken   []magnoliashore.SubAnswer // room that the mailbox gave back
 	pieces  []*piece
+	spare   []attempt // room for the first attempts
 	waiting map[uint64]*attempt
 	left    int
 	sent    int
@@ -60,19 +60,40 @@
 		host:    h,
 		query:   query,
 		plan:    p,
-		view:    view,
 		merger:  merge.New(p, view, query.Merge()),
 		due:     query.Deadline().Add(-answerReserve),
-		answers: ring.New[magnoliashore.SubAnswer](len(p.Pieces()) * maxAttempts),
+		answers: newMailbox(len(p.Pieces())),
 		waiting: make(map[uint64]*attempt, len(p.Pieces())),
 		left:    len(p.Pieces()),
 	}
-	for _, part := range p.Pieces() {
-		g.pieces = append(g.pieces, &piece{plan: part})
-	}
+	g.addPieces(p.Pieces())
 	return g
 }
 
+// addPieces sets the pieces up, with room for one attempt at each.
+func (g *gatherer) addPieces(parts []plan.Piece) {
+	n := len(parts)
+	pieces := make([]piece, n)
+	routes := make([]route, n)
+	g.pieces = make([]*piece, n)
+	g.spare = make([]attempt, n)
+	for i, part := range parts {
+		pieces[i].plan = part
+		pieces[i].tried.routes = routes[i : i : i+1]
+		g.pieces[i] = &pieces[i]
+	}
+}
+
+// newAttempt returns room for an attempt.
+func (g *gatherer) newAttempt() *attempt {
+	if len(g.spare) == 0 {
+		return new(attempt)
+	}
+	a := &g.spare[0]
+	g.spare = g.spare[1:]
+	return a
+}
+
 // run sends the first sub-requests and takes answers until every partition is
 // settled, the deadline comes or the caller gives up.
 func (g *gatherer) run(ctx context.Context) {
@@ -86,9 +107,8 @@
 		stop(hedge)
 		hedge = g.nextHedge()
 		select {
-		case answer := <-g.answers.Items():
-			g.take(answer)
-			g.takeMore()
+		case <-g.answers.ready:
+			g.takeAll()
 		case now := <-channel(hedge):
 			g.hedge(now)
 		case <-late.C:
@@ -114,13 +134,17 @@
 	return s.C
 }
 
-// takeMore takes the answers that have arrived by now.
-func (g *gatherer) takeMore() {
+// takeAll takes the answers that have arrived by now, and those that a retry
+// gets at once.
+func (g *gatherer) takeAll() {
 	for {
-		select {
-		case answer := <-g.answers.Items():
+		list := g.answers.swap(g.taken)
+		for _, answer := range list {
 			g.take(answer)
-		default:
+		}
+		clear(list)
+		g.taken = list
+		if len(list) == 0 {
 			return
 		}
 	}
@@ -137,7 +161,7 @@
 }
 
 func (g *gatherer) first(p *piece, batches *batches) {
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), exclusion{}, stepStandby)
+	r, ok := g.host.routeTo(p.plan.Targets(), exclusion{}, stepStandby)
 	if !ok {
 		reason := p.plan.Reason()
 		if reason == magnoliashore.ReasonNone {
@@ -157,7 +181,8 @@
 
 // attempt registers a sub-request of the partition on the route.
 func (g *gatherer) attempt(p *piece, r route, extra bool) *attempt {
-	a := &attempt{
+	a := g.newAttempt()
+	*a = attempt{
 		piece: p,
 		route: r,
 		extra: extra,
@@ -185,9 +210,8 @@
 	}
 }
 
-// reply takes a final answer from any goroutine. The ring has room for every
-// attempt.
-func (g *gatherer) reply(answer magnoliashore.SubAnswer) { g.answers.Push(answer) }
+// reply takes a final answer from any goroutine.
+func (g *gatherer) reply(answer magnoliashore.SubAnswer) { g.answers.put(answer) }
 
 // take merges an answer, or tries another replica, or gives the partition up.
 func (g *gatherer) take(answer magnoliashore.SubAnswer) {
@@ -261,7 +285,7 @@
 	if costsTarget(answer) && !g.host.budget.Take() {
 		return false
 	}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried, stepStandby)
+	r, ok := g.host.routeTo(p.plan.Targets(), p.tried, stepStandby)
 	if !ok {
 		return false
 	}
@@ -336,7 +360,7 @@
 	}
 	last := p.tried.routes[len(p.tried.routes)-1]
 	without := exclusion{targets: append([]magnoliashore.TargetID{last.target}, p.tried.targets...)}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), without, stepOwner)
+	r, ok := g.host.routeTo(p.plan.Targets(), without, stepOwner)
 	if !ok || r.load.Cold() || r.load.Queue() > r.load.Limit() {
 		return
 	}
@@ -357,7 +381,7 @@
 
 // giveUp settles every open partition as missing.
 func (g *gatherer) giveUp(reason magnoliashore.Reason) {
-	g.takeMore()
+	g.takeAll()
 	for _, a := range g.waiting {
 		if !a.piece.done {
 			g.merger.Add(magnoliashore.Lose(a.sub, reason))
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -20,6 +20,7 @@
 	lingerWarm  = 10 * time.Millisecond // a warm target's slot after its work was cut short
 	leastWindow = 5 * time.Millisecond  // shortest rest of a lease in which cold work starts
 	latencyTau  = 8                     // answers over which the latency is smoothed
+	doneSize    = 16                    // ended exchanges that wait for the duty without holding a goroutine
 )
 
 // job is one sub-request on its way through the duty of its target.
@@ -31,18 +32,16 @@
 	withdrawn bool
 	until     time.Time // the deadline that the target was told
 	cold      bool      // the target was held cold when the job started
+	answer    magnoliashore.SubAnswer
+	evidence  magnoliashore.Evidence
 }
 
 // Messages of the duty's inbox.
 type (
 	submitted struct{ job *job }
 	withdrawn struct{ job *job }
-	finished  struct {
-		job      *job
-		answer   magnoliashore.SubAnswer
-		evidence magnoliashore.Evidence
-	}
-	released struct{ cold bool } // a slot whose work was cut short is free again
+	finished  struct{ job *job }  // with its answer and evidence
+	released  struct{ cold bool } // a slot whose work was cut short is free again
 )
 
 // worker is the duty of one target: it alone decides what is sent to it.
@@ -77,7 +76,7 @@
 		inbox:  ring.New[any](h.Settings.Limits.Ring),
 		closed: make(chan struct{}),
 		signal: make(chan struct{}, 1),
-		done:   make(chan any),
+		done:   make(chan any, doneSize),
 		target: t,
 		row:    row,
 		jobs:   make(map[uint64]*job),
@@ -94,9 +93,29 @@
 
 func (w *worker) open() {
 	w.conns = max(1, w.row.Conns()/connShares)
+	if w.host.Sender != nil {
+		w.connection(true)
+		return
+	}
 	w.host.pool.Open(w.target, w.conns)
 }
 
+// standing returns how many connections to the target stand now.
+func (w *worker) standing() int {
+	if w.host.Sender != nil {
+		return w.conns
+	}
+	return w.host.pool.Conns(w.target.ID())
+}
+
+// sender returns what runs the sub-requests.
+func (w *worker) sender() magnoliashore.Sender {
+	if w.host.Sender != nil {
+		return w.host.Sender
+	}
+	return w.host.pool
+}
+
 func (w *worker) end() { w.once.Do(func() { close(w.closed) }) }
 
 func (w *worker) refresh() {
@@ -118,22 +137,48 @@
 
 // Run takes messages until ctx ends or the target is no longer published.
 func (w *worker) Run(ctx context.Context) error {
-	w.reset()
+	w.awaitOld(ctx, w.reset())
 	w.run(ctx)
 	w.host.pool.Close(w.target.ID())
 	return nil
 }
 
 // reset gives up every job that a run which failed has left behind, and takes
-// the target for cold.
-func (w *worker) reset() {
+// the target for cold. It returns when the target has let go of all of them.
+func (w *worker) reset() time.Time {
+	var last time.Time
 	for id, j := range w.jobs {
+		if j.until.After(last) {
+			last = j.until
+		}
 		w.answer(j, magnoliashore.Lose(j.sub, magnoliashore.ReasonFault))
 		j.withdrawn = true
 		delete(w.jobs, id)
 	}
 	w.queue = w.host.newQueue(w.row.Queue())
 	w.belief = w.newBelief()
+	return last
+}
+
+// awaitOld waits until the exchanges of a run which failed have ended at the
+// target, and frees their slots.
+func (w *worker) awaitOld(ctx context.Context, last time.Time) {
+	if last.IsZero() {
+		return
+	}
+	wake := w.host.Timer.At(last)
+	defer wake.Stop()
+	for {
+		select {
+		case <-w.done:
+		case <-wake.C:
+			w.busy = 0
+			w.coldBusy.Store(0)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 func (w *worker) newBelief() *warm.Belief {
@@ -144,6 +189,8 @@
 }
 
 func (w *worker) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx) // of its own, so that exchanges do not contend for the host's
+	defer cancel()
 	var sweep *timer.Subscription
 	var sweeps <-chan time.Time
 	for {
@@ -183,7 +230,7 @@
 	case withdrawn:
 		w.withdraw(m.job)
 	case finished:
-		w.finish(ctx, m)
+		w.finish(ctx, m.job)
 	case released:
 		w.freeSlot(m.cold)
 	}
@@ -277,7 +324,7 @@
 // most one of them needs a new connection: if the target was replaced and the
 // break of the old connections is not seen yet, the new process gets one.
 func (w *worker) limit(now time.Time) int {
-	limit := min(w.belief.Limit(now), w.host.pool.Conns(w.target.ID())+1)
+	limit := min(w.belief.Limit(now), w.standing()+1)
 	return w.host.control.ownership.Share(now, w.target.ID(), limit)
 }
 
@@ -396,8 +443,8 @@
 	w.host.meters.subs.Inc()
 	go func() {
 		defer cancel()
-		answer, evidence := w.send(exchange, sub, t, notAfter)
-		w.report(ctx, finished{job: j, answer: answer, evidence: evidence})
+		j.answer, j.evidence = w.send(exchange, sub, t, notAfter)
+		w.report(ctx, finished{job: j})
 	}()
 }
 
@@ -411,7 +458,7 @@
 			answer = magnoliashore.Lose(sub, magnoliashore.ReasonFault)
 		}
 	}()
-	return w.host.pool.Send(ctx, sub, t, notAfter)
+	return w.sender().Send(ctx, sub, t, notAfter)
 }
 
 func (w *worker) report(ctx context.Context, message any) {
@@ -423,40 +470,43 @@
 
 // finish takes in the end of an exchange. The slot of an exchange that was
 // cut short stays taken for as long as the target may still work on it.
-func (w *worker) finish(ctx context.Context, m finished) {
+func (w *worker) finish(ctx context.Context, j *job) {
 	now := w.host.Timer.Now()
-	w.free(ctx, now, m)
-	if _, known := w.jobs[m.job.id]; !known {
+	w.free(ctx, now, j)
+	if _, known := w.jobs[j.id]; !known {
 		return // given up by a reset
 	}
-	delete(w.jobs, m.job.id)
-	w.belief.Learn(now, m.evidence)
-	if m.evidence.Healthy {
-		w.queue.Ran(m.evidence.Took)
-		w.latency += (m.evidence.Took - w.latency) / latencyTau
+	delete(w.jobs, j.id)
+	w.belief.Learn(now, j.evidence)
+	if j.evidence.Healthy {
+		w.queue.Ran(j.evidence.Took)
+		w.latency += (j.evidence.Took - w.latency) / latencyTau
 	}
 	w.reportWarmth(now)
-	w.answer(m.job, m.answer)
+	w.answer(j, j.answer)
 }
 
-func (w *worker) free(ctx context.Context, now time.Time, m finished) {
-	linger := m.job.until.Sub(now)
-	if !m.job.cold {
+func (w *worker) free(ctx context.Context, now time.Time, j *job) {
+	linger := j.until.Sub(now)
+	if !j.cold {
 		linger = min(linger, lingerWarm)
 	}
-	if m.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
-		w.freeSlot(m.job.cold)
+	if j.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
+		w.freeSlot(j.cold)
 		return
 	}
-	go func() {
-		wake := w.host.Timer.After(linger)
-		defer wake.Stop()
-		select {
-		case <-wake.C:
-			w.report(ctx, released{cold: m.job.cold})
-		case <-ctx.Done():
-		}
-	}()
+	go w.releaseAfter(ctx, linger, j.cold)
+}
+
+// releaseAfter reports a slot as free again after a time.
+func (w *worker) releaseAfter(ctx context.Context, linger time.Duration, cold bool) {
+	wake := w.host.Timer.After(linger)
+	defer wake.Stop()
+	select {
+	case <-wake.C:
+		w.report(ctx, released{cold: cold})
+	case <-ctx.Done():
+	}
 }
 
 func (w *worker) freeSlot(cold bool) {
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -88,7 +88,7 @@
 	var sent, received history
 	for range 2 { // the second time, repeated parts are left out
 		for _, want := range messages(codec.Clock.Now()) {
-			frame, err := codec.encode(want, &sent)
+			frame, err := codec.encode(nil, want, &sent)
 			if err != nil {
 				t.Fatalf("encode %T: got %v, want none", want, err)
 			}
@@ -108,8 +108,8 @@
 	codec := newTestCodec(t)
 	var sent history
 	beat := messages(codec.Clock.Now())[0]
-	first, _ := codec.encode(beat, &sent)
-	second, _ := codec.encode(beat, &sent)
+	first, _ := codec.encode(nil, beat, &sent)
+	second, _ := codec.encode(nil, beat, &sent)
 	if got, limit := len(second), len(first)*2/3; got > limit {
 		t.Errorf("second heartbeat: got %d bytes, want at most %d", got, limit)
 	}
@@ -137,7 +137,7 @@
 		f.Fatal(err)
 	}
 	for _, message := range messages(codec.Clock.Now()) {
-		frame, err := codec.encode(message, &history{})
+		frame, err := codec.encode(nil, message, &history{})
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -148,7 +148,7 @@
 		if err != nil {
 			return
 		}
-		if _, err := codec.encode(message, &history{}); err != nil {
+		if _, err := codec.encode(nil, message, &history{}); err != nil {
 			t.Errorf("encode %T that was decoded: got %v, want none", message, err)
 		}
 	})
--- a/peer/session.go
+++ b/peer/session.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"syscall"
 	"time"
@@ -18,8 +19,9 @@
 	writeTimeout  = 2 * time.Second        // for one frame
 	userTimeout   = 800 * time.Millisecond // after which the kernel drops what it could not deliver
 	handshakeTime = time.Second
-	outboxSize    = 4096 // messages
-	coalesceLimit = 64   // answers in one frame
+	outboxSize    = 4096      // messages
+	coalesceLimit = 64        // answers in one frame
+	roomLimit     = 256 << 10 // bytes that are kept for the next frame
 )
 
 // session is one WebSocket connection with its writing duty.
@@ -29,6 +31,8 @@
 	sent    history // what the other side has of this one
 	got     history // what came from the other side
 	traffic *Traffic
+	room    []byte       // for the frame that the writing duty encodes
+	inbound bytes.Buffer // the frame that was read last
 	outbox  *ring.Ring[any]
 	done    chan struct{}
 	order   func() uint64
@@ -100,10 +104,11 @@
 }
 
 func (s *session) send(message any) error {
-	frame, err := s.codec.encode(message, &s.sent)
+	frame, err := s.codec.encode(s.room, message, &s.sent)
 	if err != nil {
 		return err
 	}
+	s.room = keep(frame)
 	s.traffic.countSent(frame)
 	if err := s.conn.SetWriteDeadline(s.codec.Clock.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -111,10 +116,18 @@
 	return s.conn.WriteMessage(websocket.BinaryMessage, frame)
 }
 
+// keep returns the room of a frame for the next one, unless it is very large.
+func keep(frame []byte) []byte {
+	if cap(frame) > roomLimit {
+		return nil
+	}
+	return frame[:0]
+}
+
 // read returns the next message. A frame that is malformed gives an error
 // marked as errFrame; the connection itself still stands.
 func (s *session) read() (any, error) {
-	kind, frame, err := s.conn.ReadMessage()
+	kind, frame, err := s.readFrame()
 	if err != nil {
 		return nil, err
 	}
@@ -129,6 +142,21 @@
 	return message, nil
 }
 
+// readFrame returns the next message of the connection. The frame is valid
+// until the next call; decoding copies what it keeps of it.
+func (s *session) readFrame() (kind int, frame []byte, err error) {
+	kind, reader, err := s.conn.NextReader()
+	if err != nil {
+		return kind, nil, err
+	}
+	if s.inbound.Cap() > roomLimit {
+		s.inbound = bytes.Buffer{}
+	}
+	s.inbound.Reset()
+	_, err = s.inbound.ReadFrom(reader)
+	return kind, s.inbound.Bytes(), err
+}
+
 var errFrame = errors.New("malformed frame")
 
 // controlSocket sets TCP_USER_TIMEOUT on a connection between entry hosts.
