perf(entry): keep one spare connection to a working target

Cause: a request that met no idle connection paid the connection cost (6 ms), and cancelling a loser could close the last connection, which makes the target cold. Ruled out: ignoring connections that this host closed itself, since the belief must rest on one that stands. Change: a probe of the health opens a connection more than running requests use; its report can only lower trust.

--- a/entry/worker.go
+++ b/entry/worker.go
@@ -68,6 +68,8 @@
 	latency time.Duration
 	cold    bool
 	conns   int
+	worked  time.Time // when the last request was started
+	probing bool      // a probe is under way
 }
 
 func newWorker(h *Host, t magnoliashore.Target, row magnoliashore.Service) *worker {
@@ -220,6 +222,7 @@
 		w.absorb()
 		w.expire()
 		w.dispatch(ctx)
+		w.keepSpare(ctx, w.host.Timer.Now())
 	}
 }
 
@@ -233,6 +236,8 @@
 		w.finish(ctx, m.job)
 	case released:
 		w.freeSlot(m.cold)
+	case probed:
+		w.learnHealth(m)
 	}
 }
 
@@ -431,6 +436,7 @@
 // connection itself, against the end of the lease or of the deadline.
 func (w *worker) start(ctx context.Context, j *job) {
 	w.busy++
+	w.worked = w.host.Timer.Now()
 	sub := j.sub
 	notAfter := time.Time{}
 	if j.cold {
