feat(load): entry hosts' events in the report and the trace

Cause: the trace of a query that waited 80 ms for an idle target did not show why its owner held it. Change: the report counts how often hosts took targets for cold, by cause; the trace writes the hosts' events about a slow query's targets.

--- a/load/directsite.go
+++ b/load/directsite.go
@@ -91,3 +91,6 @@
 }
 
 func (s *directSite) ledger(context.Context) ([]record, error) { return ledgers(s.fleet.Targets) }
+
+// events returns none: there is no entry host.
+func (s *directSite) events(context.Context) ([]magnoliashore.Event, error) { return nil, nil }
--- a/load/embedded.go
+++ b/load/embedded.go
@@ -110,6 +110,14 @@
 	return ledgers(s.cell.Targets())
 }
 
+func (s *embedded) events(context.Context) ([]magnoliashore.Event, error) {
+	var list []magnoliashore.Event
+	for _, h := range s.cell.Entries() {
+		list = append(list, h.Events().Events()...)
+	}
+	return list, nil
+}
+
 // ledgers returns what targets of this process recorded.
 func ledgers(targets []*standin.Target) ([]record, error) {
 	var list []record
--- a/load/remote.go
+++ b/load/remote.go
@@ -144,6 +144,18 @@
 	return list, err
 }
 
+func (s *remoteSite) events(ctx context.Context) ([]magnoliashore.Event, error) {
+	var list []magnoliashore.Event
+	for _, address := range s.experiment.remote.operators {
+		events, err := operator.FetchEvents(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, events...)
+	}
+	return list, nil
+}
+
 // call makes a call to the operator's side of the targets.
 func (s *remoteSite) call(ctx context.Context, method, path string, take func(body io.Reader) error) error {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
--- a/load/report.go
+++ b/load/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/event"
 )
 
 // Kinds of rows of a report.
@@ -18,6 +19,7 @@
 	begin    time.Time // of the counted time
 	recorder *recorder
 	records  []record
+	events   []magnoliashore.Event // of the entry hosts, in the counted time
 	audit    audit
 }
 
@@ -105,6 +107,18 @@
 	return time.Duration(late.ValueAtQuantile(99)) * time.Microsecond, time.Duration(late.Max()) * time.Microsecond
 }
 
+// turned returns how often entry hosts took a target for cold, by the cause
+// that they state.
+func (f result) turned() map[magnoliashore.Reason]int {
+	causes := make(map[magnoliashore.Reason]int)
+	for _, e := range f.events {
+		if e.Code() == event.TargetCold {
+			causes[magnoliashore.Reason(e.Detail())]++
+		}
+	}
+	return causes
+}
+
 // find returns the row of a policy with the same kind and name.
 func (r Report) find(policy string, like row) (row, bool) {
 	for _, candidate := range r.rows {
--- a/load/reportjson.go
+++ b/load/reportjson.go
@@ -43,16 +43,17 @@
 
 // wireAudit has times in milliseconds.
 type wireAudit struct {
-	Policy      string     `json:"policy"`
-	Requests    int        `json:"requests"`
-	Undone      int        `json:"undone"`
-	Overruns    int        `json:"overruns"`
-	Told        int        `json:"told"`
-	Second      int        `json:"second"`
-	FalseNotrun int        `json:"falsenotrun"`
-	LateP99     float64    `json:"latep99"`
-	LateMax     float64    `json:"latemax"`
-	Zones       []wireZone `json:"zones"`
+	Policy      string         `json:"policy"`
+	Requests    int            `json:"requests"`
+	Undone      int            `json:"undone"`
+	Overruns    int            `json:"overruns"`
+	Told        int            `json:"told"`
+	Second      int            `json:"second"`
+	FalseNotrun int            `json:"falsenotrun"`
+	LateP99     float64        `json:"latep99"`
+	LateMax     float64        `json:"latemax"`
+	Zones       []wireZone     `json:"zones"`
+	Turned      map[string]int `json:"turned"`
 }
 
 // wireZone has times in milliseconds; null where it did not happen.
@@ -121,6 +122,7 @@
 		Policy: f.policy, Requests: f.audit.requests, Undone: f.audit.undone, Overruns: f.audit.overruns, Told: f.audit.toldOver,
 		Second: f.audit.secondRuns, FalseNotrun: f.audit.falseNotrun,
 		LateP99: millis(p99), LateMax: millis(most), Zones: []wireZone{},
+		Turned: texts(f.turned()),
 	}
 	for _, z := range f.audit.zones {
 		out.Zones = append(out.Zones, wireZone{Zone: z.zone, Last: orNull(z.last), Back: orNull(z.back)})
--- a/load/reporttext.go
+++ b/load/reporttext.go
@@ -39,11 +39,11 @@
 
 func (r Report) writeAudits(w io.Writer) {
 	line(w, "")
-	line(w, "policy", "requests", "undone", "overruns", "told", "second", "falsenotrun", "late p99", "late max")
+	line(w, "policy", "requests", "undone", "overruns", "told", "second", "falsenotrun", "late p99", "late max", "turned cold for")
 	for _, f := range r.results {
 		p99, most := f.lateness()
 		a := f.audit
-		line(w, f.policy, a.requests, a.undone, a.overruns, a.toldOver, a.secondRuns, a.falseNotrun, ms(p99), ms(most))
+		line(w, f.policy, a.requests, a.undone, a.overruns, a.toldOver, a.secondRuns, a.falseNotrun, ms(p99), ms(most), reasonText(f.turned()))
 	}
 }
 
--- a/load/site.go
+++ b/load/site.go
@@ -32,6 +32,8 @@
 	leave(host string) error
 	// ledger returns what the targets recorded.
 	ledger(ctx context.Context) ([]record, error)
+	// events returns the events that the entry hosts keep.
+	events(ctx context.Context) ([]magnoliashore.Event, error)
 }
 
 // question is one query to send.
--- a/load/trace.go
+++ b/load/trace.go
@@ -10,8 +10,12 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/event"
 )
 
+// eventsBefore is how long before a traced query was due events are written.
+const eventsBefore = 300 * time.Millisecond
+
 // traced is one counted query with when it was due and what became of it.
 type traced struct {
 	id      magnoliashore.QueryID
@@ -60,6 +64,9 @@
 		}
 	}
 	due := f.begin.Add(t.due)
+	if err := writeEvents(w, f.events, records, due, due.Add(t.outcome.took)); err != nil {
+		return err
+	}
 	slices.SortFunc(records, func(a, b record) int { return a.end.Compare(b.end) })
 	for _, rec := range records {
 		_, err := fmt.Fprintf(w, "    %-12s %8s to %8s %-9s running %d cold %v %s\n", rec.target,
@@ -70,3 +77,20 @@
 	}
 	return nil
 }
+
+// writeEvents writes the events about the targets of the records, from shortly
+// before the interval until its end.
+func writeEvents(w io.Writer, events []magnoliashore.Event, records []record, from, to time.Time) error {
+	for _, e := range events {
+		asked := func(r record) bool { return r.target == string(e.Target()) }
+		if e.At().Before(from.Add(-eventsBefore)) || e.At().After(to) || !slices.ContainsFunc(records, asked) {
+			continue
+		}
+		_, err := fmt.Fprintf(w, "    %-12s %8s %s at host %s %s\n",
+			e.Target(), ms(e.At().Sub(from)), event.Name(e.Code()), e.Host(), e.Detail())
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
