test(target): replies as data, connection counts at the target's listener

Ruled out: counting connections by the server's state hook, which runs after the close and so sees one more than stands. Change: 26 replies in testdata/replies.txt, each with the states it must cause; gauge on the listener; cancellation and deadline in one table.

--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -20,18 +20,21 @@
 // in b and a; the zone c is out, and so is a if dark.
 func made(n int, once, dark bool) (plan.Plan, magnoliashore.View) {
 	services := make([]magnoliashore.Service, n)
-	targets := make([]magnoliashore.Target, 0, 2*n)
+	targets := make([]magnoliashore.Target, 0, 3*n)
 	partitions := make([]magnoliashore.Partition, n)
 	for i := range n {
 		service := magnoliashore.ServiceName(fmt.Sprintf("p%d", i))
 		services[i] = magnoliashore.NewService(magnoliashore.ServiceSpec{Name: service, Group: "g", Deadline: time.Second})
 		zones := []magnoliashore.ZoneName{"b", "a"}
-		if i == 0 {
+		switch i {
+		case 0:
 			zones[0] = "c"
+		case 1:
+			zones = append(zones, "a") // a zone counts a partition once
 		}
 		ids := make([]magnoliashore.TargetID, len(zones))
 		for k, zone := range zones {
-			ids[k] = magnoliashore.TargetID(string(service) + string(zone))
+			ids[k] = magnoliashore.TargetID(fmt.Sprint(service, zone, k))
 			targets = append(targets, magnoliashore.NewTarget(ids[k], service, zone, "127.0.0.1:1"))
 		}
 		partitions[i] = magnoliashore.NewPartition(magnoliashore.PartitionID(service), service, ids)
@@ -198,24 +201,18 @@
 }
 
 func BenchmarkMerge(b *testing.B) {
-	body := `[{"score":3,"item":{"page":1}},{"score":2,"item":{"page":2}},{"score":1,"item":{"page":3}}]`
+	const body = `[{"score":3,"item":{"page":1}},{"score":2,"item":{"page":2}},{"score":1,"item":{"page":3}}]`
 	for _, n := range []int{20, 120} {
-		for name, how := range map[string]magnoliashore.Merge{"all": magnoliashore.MergeAll(), "best": magnoliashore.MergeBest(10)} {
-			b.Run(fmt.Sprint(name, n), func(b *testing.B) {
-				p, view := made(n, false, false)
-				answers := make([]magnoliashore.SubAnswer, 0, n)
-				for _, piece := range p.Pieces() {
-					answers = append(answers, sub(string(piece.Partition()), "ran", "", body))
-				}
+		p, view := made(n, false, false)
+		for _, how := range []magnoliashore.Merge{magnoliashore.MergeAll(), magnoliashore.MergeBest(10)} {
+			b.Run(fmt.Sprintf("partitions%d/best%d", n, how.Best()), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
 					m := merge.New(p, view, how)
-					for _, a := range answers {
-						m.Add(a)
+					for _, piece := range p.Pieces() {
+						m.Add(sub(string(piece.Partition()), "ran", "", body))
 					}
-					m.Coverage()
-					m.Parts()
-					m.Items()
+					_, _, _ = m.Coverage(), m.Parts(), m.Items()
 				}
 			})
 		}
--- a/target/fail_test.go
+++ b/target/fail_test.go
@@ -14,37 +14,6 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
-func TestSendRefusedDial(t *testing.T) {
-	t.Parallel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	_ = l.Close()
-	r := newRig(t, address, 1)
-	check(t, r.send(t.Context(), sub(soon)), magnoliashore.OutcomeNotRun, magnoliashore.ReasonUnreachable)
-	if got, want := r.states.text(), "[]"; got != want {
-		t.Errorf("states: got %s, want %s", got, want)
-	}
-}
-
-func TestSendResetAfterWrite(t *testing.T) {
-	t.Parallel()
-	var runs atomic.Int32
-	r := newRig(t, raw(t, func(c *net.TCPConn) {
-		if whollyRead(bufio.NewReader(c)) {
-			runs.Add(1)
-		}
-		reset(c)
-	}), 1)
-	check(t, r.send(t.Context(), sub(soon)), magnoliashore.OutcomeUnknown, magnoliashore.ReasonLost)
-	eventually(t, "states", r.states.text, "[up down]")
-	if got, want := runs.Load(), int32(1); got != want {
-		t.Errorf("runs: got %d, want %d", got, want)
-	}
-}
-
 // A target that resets each connection at the second request on it gets every
 // request once.
 func TestSendNeverReplays(t *testing.T) {
@@ -56,7 +25,7 @@
 			return
 		}
 		runs.Add(1)
-		_, _ = io.WriteString(c, good+whole)
+		_, _ = io.WriteString(c, good)
 		if whollyRead(b) {
 			runs.Add(1)
 		}
@@ -79,97 +48,67 @@
 	for _, abrupt := range []bool{true, false} {
 		cut := make(chan struct{})
 		r := newRig(t, raw(t, func(c *net.TCPConn) {
-			script(good+whole, true)(c)
+			script(good, "cut")(c)
 			<-cut
 			if abrupt {
 				reset(c)
 			}
 		}), 1)
-		check(t, r.send(t.Context(), sub(soon)), magnoliashore.OutcomeRan, "")
+		check(t, r.send(t.Context(), sub(soon)), "ran", "")
 		eventually(t, "states", r.states.text, "[up]")
 		close(cut)
 		eventually(t, "states", r.states.text, "[up down]")
-		eventually(t, "conns", func() int { return r.pool.Conns("t1") }, 0)
+		eventually(t, "conns", r.conns, 0)
 	}
 }
 
-func TestCancelFrees(t *testing.T) {
-	t.Parallel()
-	arrived := make(chan struct{}, 1)
-	freed := make(chan struct{}, 1)
-	r := newRig(t, serve(t, func(_ http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		arrived <- struct{}{}
-		<-r.Context().Done()
-		freed <- struct{}{}
-	}), 1)
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		<-arrived
-		cancel()
-	}()
-	check(t, r.send(ctx, sub(soon)), magnoliashore.OutcomeUnknown, magnoliashore.ReasonCancelled)
-	select {
-	case <-freed:
-	case <-time.After(soon):
-		t.Error("target: got no cancellation, want one")
-	}
-	check(t, r.send(ctx, sub(soon)), magnoliashore.OutcomeNotRun, magnoliashore.ReasonCancelled)
-}
-
-func TestDeadlineFrees(t *testing.T) {
-	t.Parallel()
-	freed := make(chan struct{}, 1)
-	r := newRig(t, serve(t, func(_ http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		<-r.Context().Done()
-		freed <- struct{}{}
-	}), 1)
-	check(t, r.send(t.Context(), sub(30*time.Millisecond)), magnoliashore.OutcomeUnknown, magnoliashore.ReasonDeadline)
-	select {
-	case <-freed:
-	case <-time.After(soon):
-		t.Error("target: got no cancellation, want one")
-	}
-}
-
-// Send returns when the target has let go of a cancelled request, or when
-// Pool.Release is over.
+// The end of ctx or of the deadline cancels the request at the target. Send
+// returns when the target has let go of it, or when Pool.Release is over.
 func TestSendWaitsForTarget(t *testing.T) {
 	t.Parallel()
 	tests := []struct {
 		name          string
+		cancel        bool
 		release, busy time.Duration // busy: how long the target takes to let go
 		least, most   time.Duration // when Send returns
+		reason        string
 	}{
-		{"the target lets go", soon, 100 * time.Millisecond, 100 * time.Millisecond, soon},
-		{"the target does not", 50 * time.Millisecond, soon, 50 * time.Millisecond, soon / 2},
+		{"deadline", false, soon, 100 * time.Millisecond, 100 * time.Millisecond, soon, "deadline"},
+		{"cancelled", true, soon, 100 * time.Millisecond, 100 * time.Millisecond, soon, "cancelled"},
+		{"the target does not let go", false, 50 * time.Millisecond, soon, 50 * time.Millisecond, soon / 2, "deadline"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			end := make(chan struct{})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			end, freed := make(chan struct{}), make(chan struct{})
 			r := newRig(t, serve(t, func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
+				if test.cancel {
+					cancel()
+				}
 				<-r.Context().Done()
+				close(freed)
 				select {
 				case <-end:
 				case <-time.After(test.busy):
 				}
 			}), 1)
 			defer close(end)
-			r.pool.Close("t1")
-			r.pool.Release = test.release
-			r.pool.Open(r.target, 1)
+			r.release(test.release)
 			began := time.Now()
-			a, e := r.pool.Send(t.Context(), sub(20*time.Millisecond), r.target, time.Time{})
-			check(t, a, magnoliashore.OutcomeUnknown, magnoliashore.ReasonDeadline)
-			if got := time.Since(began); got < test.least || got > test.most {
-				t.Errorf("returned after %v, want %v to %v", got, test.least, test.most)
+			a, e := r.pool.Send(ctx, sub(200*time.Millisecond), r.target, time.Time{})
+			took := time.Since(began)
+			check(t, a, "unknown", test.reason)
+			if took < test.least || took > test.most {
+				t.Errorf("returned after %v, want %v to %v", took, test.least, test.most)
 			}
 			if e.Took > test.most/2 || e.Healthy {
-				t.Errorf("evidence: got %+v, want the time until the deadline", e)
+				t.Errorf("evidence: got %+v, want the time until the end", e)
 			}
+			<-freed
+			check(t, r.send(ctx, sub(-1)), "notrun", "deadline")
 		})
 	}
 }
@@ -208,8 +147,11 @@
 func TestUnopened(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, serve(t, answer), 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	check(t, r.send(ctx, sub(soon)), "notrun", "cancelled")
 	r.pool.Close("t1")
-	check(t, r.send(t.Context(), sub(soon)), magnoliashore.OutcomeNotRun, magnoliashore.ReasonLeaving)
+	check(t, r.send(t.Context(), sub(soon)), "notrun", "leaving")
 	if _, err := r.pool.Probe(t.Context(), r.target); err == nil {
 		t.Error("probe: got no error, want one")
 	}
--- a/target/fake_test.go
+++ b/target/fake_test.go
@@ -67,14 +67,19 @@
 }
 
 // script returns a connection handler that reads one request and writes text.
-// It then ends the connection, or waits until the other side does.
-func script(text string, cut bool) func(*net.TCPConn) {
+// Then it ends the connection ("cut"), resets it ("reset"), or waits until the
+// other side ends it.
+func script(text, then string) func(*net.TCPConn) {
 	return func(c *net.TCPConn) {
 		if !whollyRead(bufio.NewReader(c)) {
 			return
 		}
 		_, _ = io.WriteString(c, text)
-		if !cut {
+		switch then {
+		case "cut":
+		case "reset":
+			reset(c)
+		default:
 			_, _ = io.Copy(io.Discard, c)
 		}
 	}
@@ -157,14 +162,25 @@
 	return a
 }
 
-func check(t *testing.T, a magnoliashore.SubAnswer, outcome magnoliashore.Outcome, reason magnoliashore.Reason) {
+// release opens the target again with another Pool.Release, and without
+// TCP_USER_TIMEOUT.
+func (r *rig) release(d time.Duration) {
+	r.pool.Close("t1")
+	r.pool.Release, r.pool.UserTimeout = d, 0
+	r.pool.Open(r.target, 1)
+}
+
+func (r *rig) conns() int { return r.pool.Conns("t1") }
+
+func check(t *testing.T, a magnoliashore.SubAnswer, outcome, reason string) {
 	t.Helper()
-	got := fmt.Sprint(a.Outcome(), " ", a.Reason())
-	want := fmt.Sprint(outcome, " ", reason)
-	if got != want {
+	if got, want := a.Outcome().String()+" "+string(a.Reason()), outcome+" "+reason; got != want {
 		t.Errorf("outcome: got %q, want %q", got, want)
 	}
 	if a.Outcome() != magnoliashore.OutcomeRan && a.Body() != nil {
 		t.Errorf("body: got %q, want none", a.Body())
 	}
 }
+
+// good is a whole reply.
+const good = "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 3\r\nContent-Length: 4\r\n\r\npart"
--- a/target/gate_test.go
+++ b/target/gate_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -17,27 +18,35 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
-func TestGatePassed(t *testing.T) {
+func TestNotSent(t *testing.T) {
 	t.Parallel()
 	tests := []struct {
 		name     string
 		deadline time.Duration // from now
 		notAfter time.Duration // from now; zero: none
 		slow     time.Duration // of the dial
-		reason   magnoliashore.Reason
+		refused  bool          // the dial
+		reason   string
 	}{
-		{"lease over", soon, -time.Second, 0, magnoliashore.ReasonLease},
-		{"deadline over", -time.Second, 0, 0, magnoliashore.ReasonDeadline},
-		{"deadline before lease", -time.Second, soon, 0, magnoliashore.ReasonDeadline},
-		{"both over", -time.Second, -2 * time.Second, 0, magnoliashore.ReasonLease},
-		{"lease ends during the dial", soon, 20 * time.Millisecond, 80 * time.Millisecond, magnoliashore.ReasonLease},
-		{"deadline ends during the dial", 20 * time.Millisecond, 0, 80 * time.Millisecond, magnoliashore.ReasonUnreachable},
+		{"lease over", soon, -time.Second, 0, false, "lease"},
+		{"deadline over", -time.Second, 0, 0, false, "deadline"},
+		{"deadline before lease", -time.Second, soon, 0, false, "deadline"},
+		{"both over", -time.Second, -2 * time.Second, 0, false, "lease"},
+		{"lease ends during the dial", soon, 20 * time.Millisecond, 80 * time.Millisecond, false, "lease"},
+		{"deadline ends during the dial", 20 * time.Millisecond, 0, 500 * time.Millisecond, false, "unreachable"},
+		{"dial refused", soon, 0, 0, true, "unreachable"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			var runs atomic.Int32
-			r := newRig(t, serve(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }), 1)
+			address := serve(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+			if test.refused {
+				gone := httptest.NewServer(nil)
+				gone.Close()
+				address = gone.Listener.Addr().String()
+			}
+			r := newRig(t, address, 1)
 			r.pool.current("t1").dialer.Control = func(string, string, syscall.RawConn) error {
 				time.Sleep(test.slow)
 				return nil
@@ -47,7 +56,10 @@
 				notAfter = time.Now().Add(test.notAfter)
 			}
 			a, _ := r.pool.Send(t.Context(), sub(test.deadline), r.target, notAfter)
-			check(t, a, magnoliashore.OutcomeNotRun, test.reason)
+			check(t, a, "notrun", test.reason)
+			if got := r.states.text(); test.refused && got != "[]" {
+				t.Errorf("states: got %s, want none", got)
+			}
 			if got := runs.Load(); got != 0 {
 				t.Errorf("runs: got %d, want 0", got)
 			}
@@ -68,7 +80,7 @@
 	for range 3 {
 		all.Go(func() { r.send(t.Context(), sub(soon)) })
 	}
-	eventually(t, "conns", func() int { return r.pool.Conns("t1") }, 3)
+	eventually(t, "conns", r.conns, 3)
 	close(release)
 	all.Wait()
 	s := magnoliashore.NewSub(magnoliashore.SubSpec{ID: 7, Partition: "p1", Target: "t1", Snapshot: 3})
@@ -76,8 +88,8 @@
 	ctx, stop := context.WithCancelCause(t.Context())
 	x.attempt.stop = func() { stop(errStop) }
 	a, _ := x.run(ctx)
-	check(t, a, magnoliashore.OutcomeNotRun, magnoliashore.ReasonLease)
-	eventually(t, "conns", func() int { return r.pool.Conns("t1") }, 2)
+	check(t, a, "notrun", "lease")
+	eventually(t, "conns", r.conns, 2)
 }
 
 // A write that blocks ends at the gate, also if the request was cancelled
@@ -87,10 +99,9 @@
 	tests := []struct {
 		name   string
 		within time.Duration // of ctx
-		reason magnoliashore.Reason
 	}{
-		{"gate", soon, magnoliashore.ReasonDeadline},
-		{"cancelled before", 30 * time.Millisecond, magnoliashore.ReasonDeadline},
+		{"gate", soon},
+		{"cancelled before", 30 * time.Millisecond},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -102,10 +113,7 @@
 				_, err := io.Copy(io.Discard, c)
 				read <- err
 			}), 1)
-			r.pool.Close("t1")
-			r.pool.Release = soon
-			r.pool.UserTimeout = 0
-			r.pool.Open(r.target, 1)
+			r.release(soon)
 			s := magnoliashore.NewSub(magnoliashore.SubSpec{
 				ID: 7, Partition: "p1", Target: "t1", Snapshot: 3, Deadline: time.Now().Add(soon), Body: make([]byte, 32<<20),
 			})
@@ -113,7 +121,7 @@
 			defer cancel()
 			began := time.Now()
 			a, _ := r.pool.Send(ctx, s, r.target, began.Add(200*time.Millisecond))
-			check(t, a, magnoliashore.OutcomeUnknown, test.reason)
+			check(t, a, "unknown", "deadline")
 			if got, want := time.Since(began), soon/2; got > want {
 				t.Errorf("took: got %v, want less than %v", got, want)
 			}
@@ -204,7 +212,7 @@
 	}
 	all.Wait()
 	r.pool.Close("t1")
-	eventually(t, "conns", func() int { return r.pool.Conns("t1") }, 0)
+	eventually(t, "conns", r.conns, 0)
 	time.Sleep(50 * time.Millisecond) // for what a closed connection may still deliver
 	mu.Lock()
 	defer mu.Unlock()
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -18,28 +18,32 @@
 // gauge is a listener that counts its open connections.
 type gauge struct {
 	net.Listener
-	now, most atomic.Int32
+	mu        sync.Mutex
+	now, most int
+}
+
+func (g *gauge) add(d int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now += d
+	g.most = max(g.most, g.now)
 }
 
 func (g *gauge) Accept() (net.Conn, error) {
 	c, err := g.Listener.Accept()
-	if err != nil {
-		return nil, err
+	if err == nil {
+		g.add(1)
 	}
-	n := g.now.Add(1)
-	for most := g.most.Load(); n > most && !g.most.CompareAndSwap(most, n); most = g.most.Load() {
-	}
-	return &counted{Conn: c, gauge: g}, nil
+	return &counted{Conn: c, ended: sync.OnceFunc(func() { g.add(-1) })}, err
 }
 
 type counted struct {
 	net.Conn
-	gauge *gauge
-	once  sync.Once
+	ended func()
 }
 
 func (c *counted) Close() error {
-	c.once.Do(func() { c.gauge.now.Add(-1) })
+	c.ended()
 	return c.Conn.Close()
 }
 
@@ -70,10 +74,12 @@
 	if got, want := ran.Load(), int32(60); got != want {
 		t.Errorf("ran: got %d, want %d", got, want)
 	}
-	if got, limit := g.most.Load(), int32(3); got > limit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if got, limit := g.most, 3; got > limit {
 		t.Errorf("connections at the target: got %d, want at most %d", got, limit)
 	}
-	eventually(t, "conns", func() bool { return r.pool.Conns("t1") <= 2 }, true)
+	eventually(t, "conns", func() bool { return r.conns() <= 2 }, true)
 }
 
 func TestOpenAtNewAddress(t *testing.T) {
@@ -90,16 +96,16 @@
 	go func() { old <- r.send(t.Context(), sub(soon)) }()
 	<-arrived
 	r.pool.Open(moved, 1)
-	check(t, r.send(t.Context(), sub(soon)), magnoliashore.OutcomeNotRun, magnoliashore.ReasonLeaving)
+	check(t, r.send(t.Context(), sub(soon)), "notrun", "leaving")
 	a, _ := r.pool.Send(t.Context(), sub(soon), moved, time.Time{})
-	check(t, a, magnoliashore.OutcomeRan, "")
+	check(t, a, "ran", "")
 	close(release)
-	check(t, <-old, magnoliashore.OutcomeRan, "")
+	check(t, <-old, "ran", "")
 	if got, want := r.states.text(), "[up down up]"; got != want {
 		t.Errorf("states: got %s, want %s", got, want)
 	}
 	r.pool.Open(moved, 1) // no change
-	if got, want := r.pool.Conns("t1"), 1; got != want {
+	if got, want := r.conns(), 1; got != want {
 		t.Errorf("conns: got %d, want %d", got, want)
 	}
 }
@@ -109,24 +115,23 @@
 	s := &states{}
 	w := &watch{notes: &notes{report: func(x State) { s.add("t1", x) }}}
 	steps := []struct {
-		name string
 		do   func()
 		want string
 	}{
-		{"first", w.opened, "[up]"},
-		{"second", w.opened, "[up]"},
-		{"one breaks", w.broke, "[up down up]"},
-		{"third", w.opened, "[up down up]"},
-		{"one closed", w.closed, "[up down up]"},
-		{"last closed", w.closed, "[up down up down]"},
-		{"again", w.opened, "[up down up down up]"},
-		{"retired", w.retire, "[up down up down up down]"},
-		{"after", w.broke, "[up down up down up down]"},
-	}
-	for _, step := range steps {
+		{w.opened, "[up]"},
+		{w.opened, "[up]"},
+		{w.broke, "[up down up]"},
+		{w.opened, "[up down up]"},
+		{w.closed, "[up down up]"},
+		{w.closed, "[up down up down]"},
+		{w.opened, "[up down up down up]"},
+		{w.retire, "[up down up down up down]"},
+		{w.broke, "[up down up down up down]"},
+	}
+	for i, step := range steps {
 		step.do()
 		if got := s.text(); got != step.want {
-			t.Errorf("%s: got %s, want %s", step.name, got, step.want)
+			t.Errorf("step %d: got %s, want %s", i, got, step.want)
 		}
 	}
 }
@@ -139,10 +144,8 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	tcp, ok := c.(*conn).Conn.(*net.TCPConn)
-	if !ok {
-		t.Fatalf("conn: got %T, want TCP", c)
-	}
+	own, _ := c.(*conn)
+	tcp, _ := own.Conn.(*net.TCPConn)
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
@@ -174,7 +177,7 @@
 		if got != test.want || (err == nil) != test.ok {
 			t.Errorf("%s: got %+v, %v, want %+v", test.body, got, err, test.want)
 		}
-		if got, want := r.pool.Conns("t1"), 1; got != want {
+		if got, want := r.conns(), 1; got != want {
 			t.Errorf("%s: conns: got %d, want %d", test.body, got, want)
 		}
 	}
--- a/target/send_test.go
+++ b/target/send_test.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
-
-	"github.com/magnoliashore/magnoliashore"
 )
 
 func TestSendRan(t *testing.T) {
@@ -19,7 +20,7 @@
 	r.pool.Skew = 200 * time.Millisecond
 	s := sub(time.Second)
 	a, e := r.pool.Send(t.Context(), s, r.target, time.Time{})
-	check(t, a, magnoliashore.OutcomeRan, magnoliashore.ReasonNone)
+	check(t, a, "ran", "")
 	if got, want := string(a.Body()), "part"; got != want {
 		t.Errorf("body: got %q, want %q", got, want)
 	}
@@ -38,84 +39,43 @@
 	if got, want := h.Get(headerOnce), "1"; got != want {
 		t.Errorf("once: got %q, want %q", got, want)
 	}
-	if got, want := r.pool.Conns("t1"), 1; got != want {
-		t.Errorf("conns: got %d, want %d", got, want)
-	}
 }
 
-const (
-	good  = "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 3\r\n"
-	shed  = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
-	whole = "Content-Length: 4\r\n\r\npart"
-)
-
 func TestSendReplies(t *testing.T) {
 	t.Parallel()
-	const (
-		ran     = magnoliashore.OutcomeRan
-		notrun  = magnoliashore.OutcomeNotRun
-		unknown = magnoliashore.OutcomeUnknown
-	)
-	tests := []struct {
-		name    string
-		reply   string
-		outcome magnoliashore.Outcome
-		reason  magnoliashore.Reason
-		kept    bool // the connection may carry another request
-		cut     bool // the target ends the connection
-	}{
-		{"whole", good + whole, ran, "", true, false},
-		{"empty part", good + "Content-Length: 0\r\n\r\n", ran, "", true, false},
-		{"no reply", "", unknown, magnoliashore.ReasonLost, false, true},
-		{"half a header", good, unknown, magnoliashore.ReasonLost, false, true},
-		{"not HTTP", "SSH-2.0-x\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
-		{"short body", good + "Content-Length: 9\r\n\r\npart", unknown, magnoliashore.ReasonInvalid, false, true},
-		{"no length", good + "\r\npart", unknown, magnoliashore.ReasonInvalid, false, true},
-		{"chunked", good + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
-		{"too large", good + "Content-Length: 65\r\n\r\npart", unknown, magnoliashore.ReasonInvalid, false, false},
-		{"two lengths", good + "Content-Length: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
-		{"crossed request", "HTTP/1.1 200 OK\r\nRequest: 8\r\nPartition: p1\r\nSnapshot: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
-		{"crossed empty", "HTTP/1.1 200 OK\r\nRequest: 8\r\nPartition: p1\r\nSnapshot: 3\r\nContent-Length: 0\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
-		{"crossed partition", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p2\r\nSnapshot: 3\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
-		{"other snapshot", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 2\r\n" + whole, unknown, magnoliashore.ReasonSnapshot, false, false},
-		{"garbled snapshot", "HTTP/1.1 200 OK\r\nRequest: 7\r\nPartition: p1\r\nSnapshot: 03\r\n" + whole, unknown, magnoliashore.ReasonSnapshot, false, false},
-		{"no echo", "HTTP/1.1 200 OK\r\n" + whole, unknown, magnoliashore.ReasonInvalid, false, false},
-		{"error", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\noops", unknown, magnoliashore.ReasonInvalid, true, false},
-		{"shed", shed + "Refused: shed\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonShed, true, false},
-		{"cold", shed + "Refused: cold\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonCold, true, false},
-		{"drain", shed + "Refused: drain\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonLeaving, true, false},
-		{"late", shed + "Refused: deadline\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonDeadline, true, false},
-		{"gone", "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\nRefused: snapshot\r\nWait: 40\r\n\r\n", notrun, magnoliashore.ReasonSnapshot, true, false},
-		{"crossed refusal", shed + "Request: 8\r\nRefused: shed\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
-		{"unknown refusal", shed + "Refused: maybe\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
-		{"two refusals", shed + "Refused: shed\r\nRefused: cold\r\n\r\n", unknown, magnoliashore.ReasonInvalid, false, false},
+	file, err := os.ReadFile("testdata/replies.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Split(strings.TrimSpace(string(file)), "\n")[1:]
+	if got, want := len(rows), 26; got != want {
+		t.Errorf("rows: got %d, want %d", got, want)
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
+	for _, row := range rows {
+		f := strings.Split(row, " | ")
+		t.Run(f[0], func(t *testing.T) {
 			t.Parallel()
-			r := newRig(t, raw(t, script(test.reply, test.cut)), 1)
+			reply, err := strconv.Unquote(f[4])
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := newRig(t, raw(t, script(reply, f[3])), 1)
 			r.pool.Limit = 64
 			a, e := r.pool.Send(t.Context(), sub(soon), r.target, time.Time{})
-			check(t, a, test.outcome, test.reason)
-			if got, want := e.Healthy, test.outcome == ran; got != want {
+			check(t, a, f[1], f[2])
+			if got, want := e.Healthy, f[1] == "ran"; got != want {
 				t.Errorf("healthy: got %v, want %v", got, want)
 			}
-			if got, want := a.After(), wanted(test.outcome); got != want {
-				t.Errorf("after: got %v, want %v", got, want)
-			}
-			if !test.kept {
-				eventually(t, "conns", func() int { return r.pool.Conns("t1") }, 0)
+			if got, want := a.After() == 40*time.Millisecond, f[1] == "notrun"; got != want {
+				t.Errorf("after: got %v, want 40ms only with notrun", a.After())
 			}
-			if got := r.pool.Conns("t1"); test.kept && got != 1 {
-				t.Errorf("conns: got %d, want 1", got)
+			if f[3] == "kept" {
+				eventually(t, "states", r.states.text, "[up]")
+				eventually(t, "conns", r.conns, 1)
+				return
 			}
+			eventually(t, "states", r.states.text, "[up down]")
+			eventually(t, "conns", r.conns, 0)
 		})
 	}
 }
-
-func wanted(o magnoliashore.Outcome) time.Duration {
-	if o == magnoliashore.OutcomeNotRun {
-		return 40 * time.Millisecond
-	}
-	return 0
-}
