fix(target): end the write before looking at unacknowledged bytes

Cause: a connection closed while a write was under way could put more bytes into the socket after the check, so that its wait was not bounded by the gate. Ruled out: asking the kernel after the stream is ended, since the end itself counts as unacknowledged. Change: closing ends a write at once and keeps later ones out; a cancelled write is told from one stopped by the gate.

--- a/target/close.go
+++ b/target/close.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// past is a read deadline that ends a read at once.
+// past is a deadline that ends reads and writes at once.
 var past = time.Unix(1, 0)
 
 // Close ends the connection and returns at once. The target gets the end of
@@ -17,7 +17,7 @@
 	if !c.closed.CompareAndSwap(false, true) {
 		return net.ErrClosed
 	}
-	_ = c.SetReadDeadline(past)
+	_ = c.SetDeadline(past)
 	if c.ended.CompareAndSwap(false, true) {
 		c.link.quota.fell()
 		c.link.watch.closed()
@@ -35,6 +35,8 @@
 		_ = c.Conn.Close()
 		return
 	}
+	c.writing.Lock() // no write is under way or begins after this
+	defer c.writing.Unlock()
 	c.hold(tcp)
 	if unacknowledged(tcp) {
 		_ = tcp.SetLinger(0)
--- a/target/conn.go
+++ b/target/conn.go
@@ -21,6 +21,7 @@
 	broken  atomic.Bool             // the other side or the kernel ended it
 	ended   atomic.Bool             // it does not count as standing any more
 	reading sync.Mutex              // held during a read
+	writing sync.Mutex              // held during a write
 	done    chan struct{}           // closed when the target has let go of it
 }
 
@@ -49,6 +50,8 @@
 
 // Write writes p unless the request is not allowed to or its gate has passed.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	a := c.now.Load()
 	if a == nil || c.bad.Load() || c.closed.Load() {
 		return 0, errSealed
@@ -79,6 +82,9 @@
 	if err == nil {
 		return n, nil
 	}
+	if c.closed.Load() {
+		return n, net.ErrClosed
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		a.refuse()
 		return n, errGate
