--- a/proof/answers_test.go
+++ b/proof/answers_test.go
@@ -165,7 +165,7 @@
 	l := c.lines()
 	for _, conns := range []int{1, 2} {
 		asker := l.client(c, conns, c.seats[0])
-		var list []answered
+		list := make([]answered, 0, 3*timeouts)
 		for n := range timeouts {
 			list = append(list, l.timeOut(t, asker, random, fmt.Sprintf("%d-%d", conns, n))...)
 		}
--- a/proof/cell_test.go
+++ b/proof/cell_test.go
@@ -56,9 +56,8 @@
 	fleet    *standin.Fleet
 	seats    []*seat
 
-	mu      sync.Mutex
-	table   []byte
-	version magnoliashore.Version
+	mu    sync.Mutex
+	table []byte
 }
 
 // seat is one seat of the cell with the process that holds it.
@@ -231,7 +230,7 @@
 
 // timeline returns the merged events of the hosts that can be reached.
 func (c *cell) timeline() string {
-	var addresses []string
+	addresses := make([]string, 0, len(c.seats))
 	for _, s := range c.seats {
 		addresses = append(addresses, s.operator)
 	}
@@ -248,7 +247,7 @@
 	for _, target := range c.fleet.Targets {
 		addresses[target.Config().ID] = target.Addr()
 	}
-	var seats []magnoliashore.Seat
+	seats := make([]magnoliashore.Seat, 0, len(c.seats))
 	for _, s := range c.seats {
 		seats = append(seats, magnoliashore.NewSeat(s.host, s.zone, s.published(), s.caller))
 	}
--- a/proof/relay_test.go
+++ b/proof/relay_test.go
@@ -180,7 +180,7 @@
 
 // names returns the hosts of the seats, for messages.
 func names(seats []*seat) string {
-	var list []string
+	list := make([]string, 0, len(seats))
 	for _, s := range seats {
 		list = append(list, string(s.host))
 	}
--- a/proof/snapshot_test.go
+++ b/proof/snapshot_test.go
@@ -60,7 +60,7 @@
 	for i, target := range c.targetsOf("archive") {
 		targets[i%count] = append(targets[i%count], magnoliashore.TargetID(target.Config().ID))
 	}
-	var list []magnoliashore.Partition
+	list := make([]magnoliashore.Partition, 0, count)
 	for i, ids := range targets {
 		name := magnoliashore.PartitionID(fmt.Sprintf("other-%d", i+1))
 		list = append(list, magnoliashore.NewPartition(name, "archive", ids))
