--- a/owner/assign.go
+++ b/owner/assign.go
@@ -16,14 +16,15 @@
 	cap      int
 	siblings map[magnoliashore.TargetID]map[magnoliashore.TargetID]bool
 	kept     map[magnoliashore.HostID][]bid
-	homeless []magnoliashore.Target
+	homeless []bid
 }
 
 // bid is a target's proposal to a member.
 type bid struct {
 	target magnoliashore.Target
-	score  score
-	next   int // index of the member to propose to after this one
+	order  []Member // the target's preference
+	next   int      // index in order of the member to propose to next
+	score  score    // of the member proposed to last
 }
 
 func assign(layout magnoliashore.Layout, members []Member) map[magnoliashore.TargetID]Member {
@@ -36,10 +37,10 @@
 	targets := slices.Clone(layout.Targets())
 	slices.SortFunc(targets, func(x, y magnoliashore.Target) int { return cmp.Compare(x.ID(), y.ID()) })
 	for _, t := range targets {
-		a.propose(t, 0)
+		a.propose(bid{target: t, order: a.preference(t)})
 	}
-	for _, t := range a.homeless {
-		a.house(t)
+	for _, b := range a.homeless {
+		a.house(b)
 	}
 	return a.result()
 }
@@ -81,19 +82,18 @@
 	return order
 }
 
-// propose offers target to the members of its preference from the given one
-// on, and goes on with each target that a member gives up for it.
-func (a *assignment) propose(target magnoliashore.Target, from int) {
-	open := []bid{{target: target, next: from}}
+// propose offers a target to the members of its preference, and goes on with
+// each target that a member gives up for it.
+func (a *assignment) propose(first bid) {
+	open := []bid{first}
 	for len(open) > 0 {
 		b := open[len(open)-1]
 		open = open[:len(open)-1]
-		order := a.preference(b.target)
-		if b.next == len(order) {
-			a.homeless = append(a.homeless, b.target)
+		if b.next == len(b.order) {
+			a.homeless = append(a.homeless, b)
 			continue
 		}
-		member := order[b.next]
+		member := b.order[b.next]
 		b.score = scoreOf(b.target, member)
 		b.next++
 		open = append(open, a.keep(member.Host, b)...)
@@ -129,15 +129,14 @@
 // house places a target that no member kept: on the first member by
 // preference without a sibling, beyond the cap, or else on the member with
 // the fewest targets.
-func (a *assignment) house(target magnoliashore.Target) {
-	order := a.preference(target)
-	free := func(m Member) bool { return !a.clashes(a.kept[m.Host], target.ID()) }
-	i := slices.IndexFunc(order, free)
+func (a *assignment) house(b bid) {
+	free := func(m Member) bool { return !a.clashes(a.kept[m.Host], b.target.ID()) }
+	i := slices.IndexFunc(b.order, free)
 	if i < 0 {
-		i = a.least(order)
+		i = a.least(b.order)
 	}
-	host := order[i].Host
-	a.kept[host] = append(a.kept[host], bid{target: target})
+	host := b.order[i].Host
+	a.kept[host] = append(a.kept[host], b)
 }
 
 func (a *assignment) least(order []Member) int {
