--- a/lease/node_test.go
+++ b/lease/node_test.go
@@ -117,7 +117,10 @@
 	t.Parallel()
 	w := newWorld(3, guards{noAbstention: true}, false)
 	holder, grantor, next := w.procs[0], w.procs[1], w.procs[2]
-	w.exchange(holder)
+	w.exchange(holder) // its view does not hold the others yet
+	if got := len(w.holders()); got != 0 {
+		t.Errorf("got %d holders by grants from outside the view, want none", got)
+	}
 	ask := holder.node.Ask(holder.now(0))
 	late := []Reply{grantor.node.Answer(grantor.now(0), ask), next.node.Answer(next.now(0), ask)}
 	holder.node.Release(holder.now(0), []Key{1})
