fix: warm work without a lease stays on standing connections

Cause: a frozen or replaced owner that wakes up may still believe a target warm and reach its new, cold process over a new connection, beside the cold work of the lease holder. Seen as overruns in TestColdOwnerFrozen and TestColdOwnerReplaced. Ruled out: a check in the duty alone, since the connection is chosen later. Change: a permit goes with each request; without a lease that still runs the connection must have stood before the request, checked at the write. Spare connections and the one connection more are the lease holder's alone.

--- a/behaviour.go
+++ b/behaviour.go
@@ -155,12 +155,25 @@
 	Share(now time.Time, target TargetID, limit int) int
 }
 
+// Permit says under which conditions a sub-request may be written to its
+// target.
+type Permit struct {
+	// NotAfter is the last moment at which a byte may be written; zero means
+	// the sub's deadline.
+	NotAfter time.Time
+	// Standing demands a connection that stood before the call, unless the
+	// host holds a lease on the target until Lease. A host that only believes
+	// the target to be warm has no right to more: a new connection may reach
+	// a new, cold process of the target.
+	Standing bool
+	Lease    time.Time
+}
+
 // Sender runs sub-requests on targets.
 type Sender interface {
-	// Send runs sub on the target at address and returns its final answer
-	// with the evidence it gave. notAfter is the last moment at which the
-	// first byte may be written; zero means the sub's deadline.
-	Send(ctx context.Context, sub Sub, target Target, notAfter time.Time) (SubAnswer, Evidence)
+	// Send runs sub on the target and returns its final answer with the
+	// evidence it gave.
+	Send(ctx context.Context, sub Sub, target Target, permit Permit) (SubAnswer, Evidence)
 }
 
 // Events takes the events of one process for its time line.
--- a/entry/query_cell_test.go
+++ b/entry/query_cell_test.go
@@ -35,7 +35,7 @@
 var _ magnoliashore.Sender = instant{}
 
 func (s instant) Send(
-	_ context.Context, sub magnoliashore.Sub, _ magnoliashore.Target, _ time.Time,
+	_ context.Context, sub magnoliashore.Sub, _ magnoliashore.Target, _ magnoliashore.Permit,
 ) (magnoliashore.SubAnswer, magnoliashore.Evidence) {
 	answer := magnoliashore.NewSubAnswer(magnoliashore.SubAnswerSpec{
 		ID: sub.ID(), Partition: sub.Partition(), Target: sub.Target(), Snapshot: sub.Snapshot(),
--- a/entry/spare.go
+++ b/entry/spare.go
@@ -28,6 +28,9 @@
 	if w.probing || w.host.Sender != nil || now.Sub(w.worked) > spareAfter {
 		return
 	}
+	if !w.leased(now) {
+		return // a connection to a process that may be new proves nothing
+	}
 	conns := w.host.pool.Conns(w.target.ID())
 	if conns > w.busy || conns >= w.conns {
 		return
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -31,7 +31,8 @@
 	cancel    context.CancelFunc // of the running exchange
 	withdrawn bool
 	until     time.Time // the deadline that the target was told
-	cold      bool      // the target was held cold when the job started
+	permit    magnoliashore.Permit
+	cold      bool // the target was held cold when the job started
 	answer    magnoliashore.SubAnswer
 	evidence  magnoliashore.Evidence
 }
@@ -325,12 +326,22 @@
 	w.jobs[j.id] = j
 }
 
-// limit returns how many requests this host may run on the target now. At
-// most one of them needs a new connection: if the target was replaced and the
-// break of the old connections is not seen yet, the new process gets one.
+// limit returns how many requests this host may run on the target now: as many
+// as connections stand, and one more under a lease. If the target was replaced
+// and the break of the old connections is not seen yet, the new process gets
+// that one request at most.
 func (w *worker) limit(now time.Time) int {
-	limit := min(w.belief.Limit(now), w.standing()+1)
-	return w.host.control.ownership.Share(now, w.target.ID(), limit)
+	room := w.standing()
+	if w.leased(now) {
+		room++
+	}
+	return w.host.control.ownership.Share(now, w.target.ID(), min(w.belief.Limit(now), room))
+}
+
+// leased reports whether this host holds a lease on the target.
+func (w *worker) leased(now time.Time) bool {
+	_, ok := w.host.control.ownership.Until(now, w.target.ID())
+	return ok
 }
 
 // permitted reports whether work may start now: on a cold target only under a
@@ -339,7 +350,7 @@
 	if !w.belief.Cold(now) {
 		return magnoliashore.ReasonNone, true
 	}
-	if _, ok := w.host.control.ownership.Until(now, w.target.ID()); !ok {
+	if !w.leased(now) {
 		return magnoliashore.ReasonLease, false
 	}
 	return magnoliashore.ReasonNone, true
@@ -413,50 +424,62 @@
 		w.refuse(j, reason, w.host.Settings.Limits.Keep)
 		return
 	}
-	end := j.sub.Deadline()
 	j.cold = w.belief.Cold(now)
-	if j.cold {
-		w.coldBusy.Add(1) // before the look at the lease, which may be given back when this is zero
-		until, ok := w.host.control.ownership.Until(now, w.target.ID())
-		if !ok || until.Sub(now) < leastWindow {
-			w.coldBusy.Add(-1)
-			delete(w.jobs, j.id)
-			w.refuse(j, magnoliashore.ReasonLease, w.host.Settings.Lease.Heartbeat)
-			return
-		}
-		if until.Before(end) {
-			end = until
-		}
+	if !j.cold {
+		w.startWarm(ctx, now, j)
+		return
 	}
-	j.until = end
-	w.start(ctx, j)
+	w.coldBusy.Add(1) // before the look at the lease, which may be given back when this is zero
+	until, ok := w.host.control.ownership.Until(now, w.target.ID())
+	if !ok || until.Sub(now) < leastWindow {
+		w.coldBusy.Add(-1)
+		delete(w.jobs, j.id)
+		w.refuse(j, magnoliashore.ReasonLease, w.host.Settings.Lease.Heartbeat)
+		return
+	}
+	w.startCold(ctx, j, until)
+}
+
+// startWarm runs the exchange on a connection that stands. Only the holder of
+// the lease may use a new one.
+func (w *worker) startWarm(ctx context.Context, now time.Time, j *job) {
+	j.until = j.sub.Deadline()
+	j.permit = magnoliashore.Permit{Standing: true}
+	if until, ok := w.host.control.ownership.Until(now, w.target.ID()); ok {
+		j.permit.Lease = until
+	}
+	w.start(ctx, j, j.sub)
+}
+
+// startCold runs the exchange so that it ends inside the lease.
+func (w *worker) startCold(ctx context.Context, j *job, until time.Time) {
+	j.until = j.sub.Deadline()
+	if until.Before(j.until) {
+		j.until = until
+	}
+	j.permit = magnoliashore.Permit{NotAfter: j.until}
+	w.start(ctx, j, j.sub.WithDeadline(j.until))
 }
 
 // start runs the exchange. Its last check before the write is made by the
-// connection itself, against the end of the lease or of the deadline.
-func (w *worker) start(ctx context.Context, j *job) {
+// connection itself, against the job's permit.
+func (w *worker) start(ctx context.Context, j *job, sub magnoliashore.Sub) {
 	w.busy++
 	w.worked = w.host.Timer.Now()
-	sub := j.sub
-	notAfter := time.Time{}
-	if j.cold {
-		sub = sub.WithDeadline(j.until)
-		notAfter = j.until
-	}
 	exchange, cancel := context.WithDeadline(ctx, j.until)
 	j.cancel = cancel
 	t := w.target
 	w.host.meters.subs.Inc()
 	go func() {
 		defer cancel()
-		j.answer, j.evidence = w.send(exchange, sub, t, notAfter)
+		j.answer, j.evidence = w.send(exchange, sub, t, j.permit)
 		w.report(ctx, finished{job: j})
 	}()
 }
 
 // send runs the exchange; a panic on the way leaves the outcome unknown.
 func (w *worker) send(
-	ctx context.Context, sub magnoliashore.Sub, t magnoliashore.Target, notAfter time.Time,
+	ctx context.Context, sub magnoliashore.Sub, t magnoliashore.Target, permit magnoliashore.Permit,
 ) (answer magnoliashore.SubAnswer, evidence magnoliashore.Evidence) {
 	defer func() {
 		if fault := recover(); fault != nil {
@@ -464,7 +487,7 @@
 			answer = magnoliashore.Lose(sub, magnoliashore.ReasonFault)
 		}
 	}()
-	return w.sender().Send(ctx, sub, t, notAfter)
+	return w.sender().Send(ctx, sub, t, permit)
 }
 
 func (w *worker) report(ctx context.Context, message any) {
--- a/load/direct.go
+++ b/load/direct.go
@@ -67,7 +67,7 @@
 			ID: d.subs.Add(1), Query: q.id, Partition: part.ID(), Target: t.ID(), Snapshot: snapshot.ID(),
 			Deadline: deadline, Once: q.group.once, Body: []byte("{}"),
 		})
-		open.Go(func() { answers[i], _ = d.pool.Send(ctx, sub, t, time.Time{}) })
+		open.Go(func() { answers[i], _ = d.pool.Send(ctx, sub, t, magnoliashore.Permit{}) })
 	}
 	open.Wait()
 	return join(q.id, snapshot.ID(), answers)
--- a/proof/cell_test.go
+++ b/proof/cell_test.go
@@ -166,6 +166,7 @@
 	}
 	s.process = exec.Command(program, "serve", "--settings", path)
 	s.process.Stderr = os.Stderr
+	s.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also when the test is cut off
 	if err := s.process.Start(); err != nil {
 		c.t.Fatalf("start %s: got %v, want none", s.host, err)
 	}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -12,6 +12,7 @@
 var (
 	errGate   = errors.New("the last moment to write has passed")
 	errSealed = errors.New("the request may not be written any more")
+	errFresh  = errors.New("the connection did not stand before the request")
 	errStop   = errors.New("the request could not be written")
 )
 
@@ -30,7 +31,9 @@
 	clock  magnoliashore.Clock
 	gate   time.Time // zero: none
 	reason magnoliashore.Reason
-	stop   func() // ends the exchange, so that the transport tries no other connection
+	since  time.Time // the connection must have stood then; zero: any will do
+	lease  time.Time // until then a newer connection will do too
+	stop   func()    // ends the exchange, so that the transport tries no other connection
 
 	mu      sync.Mutex
 	phase   phase
@@ -40,17 +43,21 @@
 	refused bool
 }
 
-// newAttempt returns the attempt for sub, whose gate is notAfter or the sub's
-// deadline, whichever comes first.
-func newAttempt(clock magnoliashore.Clock, sub magnoliashore.Sub, notAfter time.Time) *attempt {
+// newAttempt returns the attempt for sub, whose gate is the permit's or the
+// sub's deadline, whichever comes first.
+func newAttempt(clock magnoliashore.Clock, sub magnoliashore.Sub, permit magnoliashore.Permit) *attempt {
 	a := free(clock)
 	a.gate = sub.Deadline()
 	a.reason = magnoliashore.ReasonDeadline
-	if notAfter.IsZero() {
+	if permit.Standing {
+		a.since = clock.Now()
+		a.lease = permit.Lease
+	}
+	if permit.NotAfter.IsZero() {
 		return a
 	}
-	if a.gate.IsZero() || !a.gate.Before(notAfter) {
-		a.gate = notAfter
+	if a.gate.IsZero() || !a.gate.Before(permit.NotAfter) {
+		a.gate = permit.NotAfter
 		a.reason = magnoliashore.ReasonLease
 	}
 	return a
@@ -85,6 +92,11 @@
 func (a *attempt) begin(c *conn) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.tooFresh(c) {
+		a.refused = true
+		a.reason = magnoliashore.ReasonLease
+		return errFresh
+	}
 	if a.phase == phaseFresh {
 		a.phase = phaseBegun
 		a.writer = c
@@ -96,6 +108,15 @@
 	return errSealed
 }
 
+// tooFresh reports whether the connection may not be used because it did not
+// stand before the request.
+func (a *attempt) tooFresh(c *conn) bool {
+	if a.since.IsZero() || !c.opened.After(a.since) {
+		return false
+	}
+	return !a.clock.Now().Before(a.lease)
+}
+
 // empty records that the first write failed with no byte written.
 func (a *attempt) empty() {
 	a.mu.Lock()
--- a/target/conn.go
+++ b/target/conn.go
@@ -5,6 +5,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,6 +15,7 @@
 	net.Conn
 
 	link    *link
+	opened  time.Time               // when it was opened
 	now     atomic.Pointer[attempt] // the request that may be written
 	sent    atomic.Pointer[attempt] // the request of which bytes were written
 	bad     atomic.Bool             // it must not carry another request
--- a/target/fail_test.go
+++ b/target/fail_test.go
@@ -98,7 +98,7 @@
 			defer close(end)
 			r.release(test.release)
 			began := time.Now()
-			a, e := r.pool.Send(ctx, sub(200*time.Millisecond), r.target, time.Time{})
+			a, e := r.pool.Send(ctx, sub(200*time.Millisecond), r.target, magnoliashore.Permit{})
 			took := time.Since(began)
 			check(t, a, "unknown", test.reason)
 			if took < test.least || took > test.most {
--- a/target/fake_test.go
+++ b/target/fake_test.go
@@ -158,7 +158,7 @@
 }
 
 func (r *rig) send(ctx context.Context, s magnoliashore.Sub) magnoliashore.SubAnswer {
-	a, _ := r.pool.Send(ctx, s, r.target, time.Time{})
+	a, _ := r.pool.Send(ctx, s, r.target, magnoliashore.Permit{})
 	return a
 }
 
--- a/target/gate_test.go
+++ b/target/gate_test.go
@@ -55,7 +55,7 @@
 			if test.notAfter != 0 {
 				notAfter = time.Now().Add(test.notAfter)
 			}
-			a, _ := r.pool.Send(t.Context(), sub(test.deadline), r.target, notAfter)
+			a, _ := r.pool.Send(t.Context(), sub(test.deadline), r.target, magnoliashore.Permit{NotAfter: notAfter})
 			check(t, a, "notrun", test.reason)
 			if got := r.states.text(); test.refused && got != "[]" {
 				t.Errorf("states: got %s, want none", got)
@@ -84,7 +84,7 @@
 	close(release)
 	all.Wait()
 	s := magnoliashore.NewSub(magnoliashore.SubSpec{ID: 7, Partition: "p1", Target: "t1", Snapshot: 3})
-	x := &exchange{pool: r.pool, link: r.pool.current("t1"), sub: s, attempt: newAttempt(r.pool.Clock, s, time.Now().Add(-1))}
+	x := &exchange{pool: r.pool, link: r.pool.current("t1"), sub: s, attempt: newAttempt(r.pool.Clock, s, magnoliashore.Permit{NotAfter: time.Now().Add(-1)})}
 	ctx, stop := context.WithCancelCause(t.Context())
 	x.attempt.stop = func() { stop(errStop) }
 	a, _ := x.run(ctx)
@@ -117,7 +117,7 @@
 				ID: 7, Partition: "p1", Target: "t1", Snapshot: 3, Deadline: time.Now().Add(soon), Body: make([]byte, 32<<20),
 			})
 			began := time.Now()
-			a, _ := r.pool.Send(ctx, s, r.target, began.Add(soon/4))
+			a, _ := r.pool.Send(ctx, s, r.target, magnoliashore.Permit{NotAfter: began.Add(soon / 4)})
 			check(t, a, "unknown", map[bool]string{false: "deadline", true: "cancelled"}[early])
 			if got, want := time.Since(began), soon/2; got > want {
 				t.Errorf("took: got %v, want less than %v", got, want)
@@ -143,7 +143,7 @@
 	go func() { _, _ = io.Copy(io.Discard, far) }()
 	clock := &hand{now: time.Now()}
 	s := sub(time.Hour)
-	a := newAttempt(clock, s, time.Time{})
+	a := newAttempt(clock, s, magnoliashore.Permit{})
 	c := &conn{Conn: near}
 	c.attach(a)
 	clock.now = s.Deadline()
--- a/target/link.go
+++ b/target/link.go
@@ -67,7 +67,7 @@
 	}
 	l.quota.opened()
 	l.watch.opened()
-	return &conn{Conn: raw, link: l, done: make(chan struct{})}, nil
+	return &conn{Conn: raw, link: l, opened: l.clock.Now(), done: make(chan struct{})}, nil
 }
 
 // retire ends new work; what runs may finish.
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -97,7 +97,7 @@
 	<-arrived
 	r.pool.Open(moved, 1)
 	check(t, r.send(t.Context(), sub(soon)), "notrun", "leaving")
-	a, _ := r.pool.Send(t.Context(), sub(soon), moved, time.Time{})
+	a, _ := r.pool.Send(t.Context(), sub(soon), moved, magnoliashore.Permit{})
 	check(t, a, "ran", "")
 	close(release)
 	check(t, <-old, "ran", "")
--- a/target/send.go
+++ b/target/send.go
@@ -20,13 +20,13 @@
 }
 
 // Send runs sub on the target, which Open has defined, and returns its final
-// answer with the evidence it gave. notAfter is the last moment at which a
-// byte may be written; zero means the sub's deadline. The request is sent at
-// most once. When ctx or the sub's deadline ends, the connection is closed,
+// answer with the evidence it gave. The request is sent at most once. When ctx or the sub's deadline ends, the connection is closed,
 // which cancels the request at the target; Send then returns when the target
 // has let go of the request, at most Pool.Release later.
-func (p *Pool) Send(ctx context.Context, sub magnoliashore.Sub, target magnoliashore.Target, notAfter time.Time) (magnoliashore.SubAnswer, magnoliashore.Evidence) {
-	x := &exchange{pool: p, sub: sub, attempt: newAttempt(p.Clock, sub, notAfter), began: p.Clock.Now()}
+func (p *Pool) Send(
+	ctx context.Context, sub magnoliashore.Sub, target magnoliashore.Target, permit magnoliashore.Permit,
+) (magnoliashore.SubAnswer, magnoliashore.Evidence) {
+	x := &exchange{pool: p, sub: sub, attempt: newAttempt(p.Clock, sub, permit), began: p.Clock.Now()}
 	x.link = p.link(target)
 	if x.link == nil {
 		return magnoliashore.Refuse(sub, magnoliashore.ReasonLeaving, 0), magnoliashore.Evidence{}
--- a/target/send_test.go
+++ b/target/send_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/magnoliashore/magnoliashore"
 )
 
 func TestSendRan(t *testing.T) {
@@ -19,7 +21,7 @@
 	}), 2)
 	r.pool.Skew = 200 * time.Millisecond
 	s := sub(time.Second)
-	a, e := r.pool.Send(t.Context(), s, r.target, time.Time{})
+	a, e := r.pool.Send(t.Context(), s, r.target, magnoliashore.Permit{})
 	check(t, a, "ran", "")
 	if got, want := string(a.Body()), "part"; got != want {
 		t.Errorf("body: got %q, want %q", got, want)
@@ -61,7 +63,7 @@
 			}
 			r := newRig(t, raw(t, script(reply, f[3])), 1)
 			r.pool.Limit = 64
-			a, e := r.pool.Send(t.Context(), sub(soon), r.target, time.Time{})
+			a, e := r.pool.Send(t.Context(), sub(soon), r.target, magnoliashore.Permit{})
 			check(t, a, f[1], f[2])
 			if got, want := e.Healthy, f[1] == "ran"; got != want {
 				t.Errorf("healthy: got %v, want %v", got, want)
