--- a/entry/worker.go
+++ b/entry/worker.go
@@ -516,9 +516,9 @@
 }
 
 func (w *worker) free(ctx context.Context, now time.Time, j *job) {
-	linger := j.until.Sub(now)
+	linger := j.until.Sub(now) + w.host.Settings.Lease.Margin // for the target to see the cut
 	if !j.cold {
-		linger = min(linger, lingerWarm)
+		linger = min(j.until.Sub(now), lingerWarm)
 	}
 	if j.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
 		w.freeSlot(j.cold)
