perf(admit): admit only what fits twice

Cause: TestRefusalsComeAtOnce at five times the capacity had a longest refusal of 383 to 387 ms of a 400 ms deadline: the queue admitted as much work as the deadline allows, so in overload each job waited nearly all of it and some expired. Ruled out: slow answers of refusals as such (median 0.7 ms). Change: twice the expected wait and one service time must fit.

--- a/admit/offer.go
+++ b/admit/offer.go
@@ -6,9 +6,17 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
+// headroom is how many times the expected wait must fit beside one service
+// time. With 1, an overloaded queue would hold as much work as the deadline
+// allows, and each job would be served, or expire, just before it.
+const headroom = 2
+
+// rounding is what an expected wait may lack of its exact value.
+const rounding = time.Nanosecond
+
 // Offer queues the job and returns true, or refuses it at once: for the reason
-// busy if its class has no room, deadline if the expected wait and one service
-// time do not fit its deadline, fault if its number is queued already. limit
+// busy if its class has no room, deadline if headroom times the expected wait
+// and one service time do not fit its deadline, fault if its number is queued already. limit
 // is how many jobs the target runs at once now, and busy how many it is
 // running. While the target is idle a job is never refused for its estimated
 // time, so that a wrong estimate is corrected.
@@ -27,7 +35,7 @@
 	if over > 0 {
 		return f.refuse(r, magnoliashore.ReasonBusy, f.drained(r, over)), false
 	}
-	late := f.wait(r)+f.times.one() > r.left
+	late := headroom*f.wait(r)+f.times.one() > r.left
 	if r.left <= 0 || late && !f.idle(busy) {
 		return f.refuse(r, magnoliashore.ReasonDeadline, 0), false
 	}
@@ -153,12 +161,12 @@
 // A job that fits only if it finds a free slot can come back once the target is
 // idle.
 func (f *Fair) after(r request, from time.Duration) time.Duration {
-	least := f.times.one() + f.times.drain(1, r.limit)
-	if least > r.left {
+	least := f.times.one() + headroom*f.times.drain(1, r.limit)
+	if least >= r.left {
 		return f.times.drain(f.store.len()+r.busy, r.limit)
 	}
 	wait := f.times.wait(f.beforeLast(r.flow.class), r.limit, r.busy)
-	return max(from, wait+f.times.one()-r.left)
+	return max(from, wait+rounding-(r.left-f.times.one())/headroom)
 }
 
 // beforeLast returns how many queued jobs are served before one that is added
