--- a/load/plot.go
+++ b/load/plot.go
@@ -27,6 +27,9 @@
 	plotGap       = 6 * vg.Millimeter
 	legendPadding = 1.5 * vg.Millimeter
 	lineWidth     = 1.6 // points
+	markGray      = 120
+	markDash      = 4 // points
+	markSpace     = 3 // points
 	maxTicks      = 30
 	plotPerm      = 0o755
 )
@@ -102,7 +105,7 @@
 	if c.latency.TotalCount() == 0 {
 		return math.NaN()
 	}
-	return millis(quantile(c, 99))
+	return millis(quantile(c, quantileHigh))
 }
 
 // slotCoverage returns the mean coverage in percent, NaN for none.
@@ -171,8 +174,8 @@
 		if err != nil {
 			return err
 		}
-		mark.Color = color.Gray{Y: 120}
-		mark.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		mark.Color = color.Gray{Y: markGray}
+		mark.Dashes = []vg.Length{vg.Points(markDash), vg.Points(markSpace)}
 		p.Add(mark)
 		if !named {
 			continue
--- a/load/report.go
+++ b/load/report.go
@@ -13,6 +13,13 @@
 	kindClass = "class"
 )
 
+// Quantiles of a report, in percent.
+const (
+	quantileMedian  = 50
+	quantileHigh    = 99
+	quantileHighest = 99.9
+)
+
 // result is what one policy gave.
 type result struct {
 	policy   string
@@ -82,7 +89,7 @@
 		queries: c.queries, ran: c.ran, refused: c.refused, unknown: c.unknown,
 		reasons: c.reasons, missing: c.missing,
 		goodput: float64(c.good) / r.experiment.length.Seconds(),
-		p50:     quantile(c, 50), p99: quantile(c, 99), p999: quantile(c, 99.9),
+		p50:     quantile(c, quantileMedian), p99: quantile(c, quantileHigh), p999: quantile(c, quantileHighest),
 		lowest: c.lowest,
 	}
 	if c.ran > 0 {
@@ -104,7 +111,7 @@
 // maximum.
 func (f result) lateness() (p99, most time.Duration) {
 	late := f.recorder.late
-	return time.Duration(late.ValueAtQuantile(99)) * time.Microsecond, time.Duration(late.Max()) * time.Microsecond
+	return time.Duration(late.ValueAtQuantile(quantileHigh)) * time.Microsecond, time.Duration(late.Max()) * time.Microsecond
 }
 
 // turned returns how often entry hosts took a target for cold, by the cause
