--- a/load/report.go
+++ b/load/report.go
@@ -24,9 +24,10 @@
 type result struct {
 	policy   string
 	begin    time.Time // of the counted time
+	end      time.Time
 	recorder *recorder
 	records  []record
-	events   []magnoliashore.Event // of the entry hosts, in the counted time
+	events   []magnoliashore.Event // of the entry hosts, in order of time
 	audit    audit
 }
 
@@ -119,7 +120,7 @@
 func (f result) turned() map[magnoliashore.Reason]int {
 	causes := make(map[magnoliashore.Reason]int)
 	for _, e := range f.events {
-		if e.Code() == event.TargetCold {
+		if e.Code() == event.TargetCold && !e.At().Before(f.begin) && e.At().Before(f.end) {
 			causes[magnoliashore.Reason(e.Detail())]++
 		}
 	}
--- a/load/runner.go
+++ b/load/runner.go
@@ -227,30 +227,19 @@
 	if err != nil {
 		return magnoliashore.Step(err, "read the entry hosts' events", "")
 	}
+	slices.SortStableFunc(events, func(a, b magnoliashore.Event) int { return a.At().Compare(b.At()) })
 	records = r.own(records)
 	a := &auditor{
 		records: records, told: r.recorder.told, faults: r.injector.happened(), zones: zones,
 		begin: begin, end: begin.Add(r.experiment.length),
 	}
 	r.result = result{
-		policy: r.policy.name, begin: begin, recorder: r.recorder, records: records,
-		events: within(events, begin, begin.Add(r.experiment.length)), audit: a.audit(),
+		policy: r.policy.name, begin: begin, end: begin.Add(r.experiment.length), recorder: r.recorder, records: records,
+		events: events, audit: a.audit(),
 	}
 	return nil
 }
 
-// within returns the events of a half-open interval, in order of time.
-func within(events []magnoliashore.Event, from, to time.Time) []magnoliashore.Event {
-	var list []magnoliashore.Event
-	for _, e := range events {
-		if !e.At().Before(from) && e.At().Before(to) {
-			list = append(list, e)
-		}
-	}
-	slices.SortStableFunc(list, func(a, b magnoliashore.Event) int { return a.At().Compare(b.At()) })
-	return list
-}
-
 // own returns the records of the queries of this run.
 func (r *run) own(records []record) []record {
 	var list []record
--- a/load/trace.go
+++ b/load/trace.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/event"
+	"github.com/magnoliashore/magnoliashore/standin"
 )
 
 // eventsBefore is how long before a traced query was due events are written.
@@ -24,10 +25,17 @@
 }
 
 // WriteTrace writes the slowest counted queries of each policy and group, at
-// most n each, every one with the requests that the targets recorded for it.
-// Times are milliseconds since the query was due.
+// most n each, every one with the requests that the targets recorded for it,
+// and every overrun of a cold limit. Times are milliseconds since the query
+// was due, or since the request that overran began.
 func (r Report) WriteTrace(w io.Writer, n int) error {
+	if n == 0 {
+		return nil
+	}
 	for _, f := range r.results {
+		if err := writeOverruns(w, f); err != nil {
+			return errors.Wrap(err, "writing the trace")
+		}
 		byQuery := make(map[magnoliashore.QueryID][]record)
 		for _, rec := range f.records {
 			byQuery[rec.query] = append(byQuery[rec.query], rec)
@@ -67,10 +75,38 @@
 	if err := writeEvents(w, f.events, records, due, due.Add(t.outcome.took)); err != nil {
 		return err
 	}
+	return writeRecords(w, records, due)
+}
+
+// writeRecords writes records in order of their end, with times since due.
+func writeRecords(w io.Writer, records []record, due time.Time) error {
 	slices.SortFunc(records, func(a, b record) int { return a.end.Compare(b.end) })
 	for _, rec := range records {
-		_, err := fmt.Fprintf(w, "    %-12s %8s to %8s %-9s running %d cold %v %s\n", rec.target,
-			ms(rec.start.Sub(due)), ms(rec.end.Sub(due)), rec.result, rec.running, rec.cold, rec.reason)
+		_, err := fmt.Fprintf(w, "    %-12s %8s to %8s %-9s running %d cold %v told %v %s\n", rec.target,
+			ms(rec.start.Sub(due)), ms(rec.end.Sub(due)), rec.result, rec.running, rec.cold, rec.told, rec.reason)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeOverruns writes each request that made a cold target fall over, with
+// what the target recorded and the hosts' events about it shortly before.
+func writeOverruns(w io.Writer, f result) error {
+	for _, over := range f.records {
+		if over.result != standin.ResultOverrun {
+			continue
+		}
+		_, err := fmt.Fprintf(w, "%s overrun of %s by %s at %v\n",
+			f.policy, over.target, over.query, over.start.Sub(f.begin).Round(time.Millisecond))
+		if err != nil {
+			return err
+		}
+		near := slices.DeleteFunc(slices.Clone(f.records), func(r record) bool {
+			return r.target != over.target || r.start.After(over.end) || r.end.Before(over.start.Add(-eventsBefore))
+		})
+		err = errors.Join(writeEvents(w, f.events, near, over.start, over.end), writeRecords(w, near, over.start))
 		if err != nil {
 			return err
 		}
