--- a/load/report.go
+++ b/load/report.go
@@ -13,13 +13,21 @@
 	kindClass = "class"
 )
 
+// Quantiles of a report, in percent.
+const (
+	quantileMedian  = 50
+	quantileHigh    = 99
+	quantileHighest = 99.9
+)
+
 // result is what one policy gave.
 type result struct {
 	policy   string
 	begin    time.Time // of the counted time
+	end      time.Time
 	recorder *recorder
 	records  []record
-	events   []magnoliashore.Event // of the entry hosts, in the counted time
+	events   []magnoliashore.Event // of the entry hosts, in order of time
 	audit    audit
 }
 
@@ -82,7 +90,7 @@
 		queries: c.queries, ran: c.ran, refused: c.refused, unknown: c.unknown,
 		reasons: c.reasons, missing: c.missing,
 		goodput: float64(c.good) / r.experiment.length.Seconds(),
-		p50:     quantile(c, 50), p99: quantile(c, 99), p999: quantile(c, 99.9),
+		p50:     quantile(c, quantileMedian), p99: quantile(c, quantileHigh), p999: quantile(c, quantileHighest),
 		lowest: c.lowest,
 	}
 	if c.ran > 0 {
@@ -104,7 +112,7 @@
 // maximum.
 func (f result) lateness() (p99, most time.Duration) {
 	late := f.recorder.late
-	return time.Duration(late.ValueAtQuantile(99)) * time.Microsecond, time.Duration(late.Max()) * time.Microsecond
+	return time.Duration(late.ValueAtQuantile(quantileHigh)) * time.Microsecond, time.Duration(late.Max()) * time.Microsecond
 }
 
 // turned returns how often entry hosts took a target for cold, by the cause
@@ -112,7 +120,7 @@
 func (f result) turned() map[magnoliashore.Reason]int {
 	causes := make(map[magnoliashore.Reason]int)
 	for _, e := range f.events {
-		if e.Code() == event.TargetCold {
+		if e.Code() == event.TargetCold && !e.At().Before(f.begin) && e.At().Before(f.end) {
 			causes[magnoliashore.Reason(e.Detail())]++
 		}
 	}
