fix: a cold target's slot stays taken until the target has seen the cut

Cause: the slot of cold work that was cut at its deadline was freed at that moment, since it lingered only until the deadline. The next request, on another connection, could reach the target before the close did, and the target had one more than it bears. Ruled out: two hosts with a lease (the requests came by one owner), bytes written late (the ledger has them refused as late), a belief that is warm (all were cold when they started). Change: the slot, and with it the lease that letGo gives back, is held for the lease's margin longer. Conclusion: mended; a warm target's slot is freed as before.

--- a/entry/worker.go
+++ b/entry/worker.go
@@ -413,9 +413,9 @@
 }
 
 func (w *worker) free(ctx context.Context, now time.Time, m finished) {
-	linger := m.job.until.Sub(now)
+	linger := m.job.until.Sub(now) + w.host.Settings.Lease.Margin // for the target to see the cut
 	if !m.job.cold {
-		linger = min(linger, lingerWarm)
+		linger = min(m.job.until.Sub(now), lingerWarm)
 	}
 	if m.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
 		w.freeSlot(m.job.cold)
