test(proof): warm waits until the owners know that the targets are warm

Cause: warm ended when the targets were warm, before their owners held them to be: TestZoneOutGetsNoNewWork then had 7 to 30 partial answers, refused for the deadline by an owner that still sent one request at a time. It also asked one query at a time, of which the cold replica got few (up to 20 s). Change: six queries at once, until each target has run 12 requests warm.

--- a/proof/answers_test.go
+++ b/proof/answers_test.go
@@ -96,7 +96,7 @@
 	t.Parallel()
 	random := newRandom(t)
 	c := (&cell{shape: small(), hosts: 3, relayed: true}).start(t)
-	c.heat("archive")
+	c.warm("archive")
 	l := c.lines()
 	asker := l.client(c, callerConns)
 	ctx, stop := context.WithTimeout(t.Context(), answersFor)
@@ -161,7 +161,7 @@
 	t.Parallel()
 	random := newRandom(t)
 	c := (&cell{shape: small(), hosts: 2}).start(t)
-	c.heat("upload")
+	c.warm("upload")
 	l := c.lines()
 	for _, conns := range []int{1, 2} {
 		asker := l.client(c, conns, c.seats[0])
--- a/proof/cell_test.go
+++ b/proof/cell_test.go
@@ -344,15 +344,27 @@
 	return all
 }
 
-// warm asks queries until every target of the group answers within the time
-// of a warm one.
+const (
+	warmers  = 6  // queries that warm asks at once, so that both replicas of a partition get work
+	warmRuns = 12 // requests on a warm target until its owner holds it to be warm, two steps of 4 and some more
+)
+
+// warm asks queries, several at once, until every target of the group is warm
+// and has run enough for its owner to know.
 func (c *cell) warm(group magnoliashore.GroupName) {
 	c.t.Helper()
 	asker := c.client()
+	prefix := string(c.prefix(group))
 	c.await(20*time.Second, "targets warm", func() bool {
-		_, _ = asker.Query(c.t.Context(), client.Request{Group: group, Body: []byte("{}"), Deadline: time.Second})
+		var open sync.WaitGroup
+		for range warmers {
+			open.Go(func() {
+				_, _ = asker.Query(c.t.Context(), client.Request{Group: group, Body: []byte("{}"), Deadline: time.Second})
+			})
+		}
+		open.Wait()
 		for _, target := range c.fleet.Targets {
-			if strings.HasPrefix(target.Config().Service, string(c.prefix(group))) && target.IsCold() {
+			if strings.HasPrefix(target.Config().Service, prefix) && !isWarmed(target) {
 				return false
 			}
 		}
@@ -360,6 +372,17 @@
 	})
 }
 
+// isWarmed reports whether a target has run enough requests since it is warm.
+func isWarmed(target *standin.Target) bool {
+	runs := 0
+	for _, e := range target.Ledger() {
+		if e.Result() == standin.ResultDone && !e.Cold() {
+			runs++
+		}
+	}
+	return runs >= warmRuns && !target.IsCold()
+}
+
 // prefix returns the start of the service names of a group.
 func (c *cell) prefix(group magnoliashore.GroupName) magnoliashore.ServiceName {
 	for _, s := range c.layout().Snapshots() {
--- a/proof/coldload_test.go
+++ b/proof/coldload_test.go
@@ -34,8 +34,8 @@
 	t.Helper()
 	c.shape = small()
 	c.start(t)
-	c.heat("gallery")
-	c.heat("enquiry")
+	c.warm("gallery")
+	c.warm("enquiry")
 	return c
 }
 
--- a/proof/refusal_test.go
+++ b/proof/refusal_test.go
@@ -53,7 +53,7 @@
 func TestRefusalsComeAtOnce(t *testing.T) {
 	t.Parallel()
 	c := (&cell{shape: small(), hosts: 3, target: slowGallery}).start(t)
-	c.heat("gallery")
+	c.warm("gallery")
 	period := time.Second / overloadRate
 	l := c.ask(c.client(), stream{group: "gallery", period: period, deadline: overloadDue})
 	time.Sleep(overloadFor)
--- a/proof/snapshot_test.go
+++ b/proof/snapshot_test.go
@@ -128,7 +128,7 @@
 func TestOneSnapshotAndTrueCoverage(t *testing.T) {
 	t.Parallel()
 	c := (&cell{shape: small(), hosts: 3, target: anyPartition}).start(t)
-	c.heat("archive")
+	c.warm("archive")
 	first := c.layout()
 	second := withArchive(first, 2, again(first))
 	third := withArchive(second, 3, c.repartitioned())
@@ -198,7 +198,7 @@
 		return relays[id].address
 	}
 	c.start(t)
-	c.heat("archive")
+	c.warm("archive")
 	first := c.layout()
 	second := withArchive(first, 2, again(first))
 	for _, r := range relays {
--- a/proof/tickets_test.go
+++ b/proof/tickets_test.go
@@ -156,7 +156,7 @@
 	t.Parallel()
 	random := newRandom(t)
 	c := (&cell{shape: small(), hosts: 4, relayed: true, settings: ticketEpoch}).start(t)
-	c.heat("enquiry")
+	c.warm("enquiry")
 	d := &duplicator{c: c, raw: newRaw(t), library: c.client(), past: &history{}}
 	end := time.Now().Add(ticketLength)
 	faults := rand.New(rand.NewPCG(random.Uint64(), 1))
