fix: work on a cold target runs to its end when its answer is not needed

Cause: a hedge's loser, or a query that was given up, cut its exchange. On a cold target the slot then stays taken until the exchange's deadline, since the target may still work, so with a cold limit of 1 the queue stood for up to 500 ms and its requests expired while the target was idle. Seen as 1 to 4 partial answers (deadline, after 494 ms) of 735 in TestGracefulStopCutsNoRequest, where new owners start from cold. Ruled out: too little load on the target before (warm waits for its owner), the queue's estimate (no request of the query reached the target). Change: such work is not cut; its reply frees the slot and warms the target. Its deadline still bounds it. Conclusion: a cancelled sub-request costs a cold target one run to the end; on a warm one it is cancelled as before.

--- a/entry/worker.go
+++ b/entry/worker.go
@@ -284,7 +284,8 @@
 		w.queue.Len(), w.busy, w.limit(now), w.belief.Cold(now), w.latency)))
 }
 
-// withdraw takes the job out of the queue or stops its exchange.
+// withdraw takes the job out of the queue or stops its exchange. Work on a cold
+// target runs to its end, which also warms the target.
 func (w *worker) withdraw(j *job) {
 	if j.withdrawn {
 		return
@@ -298,7 +299,7 @@
 		w.host.workers.load.Add(-1)
 		return
 	}
-	if j.cancel != nil {
+	if j.cancel != nil && !j.cold { // the slot of cold work that is cut stays taken for longer than it runs
 		j.cancel()
 	}
 }
