--- a/entry/host.go
+++ b/entry/host.go
@@ -44,6 +44,10 @@
 	Platform magnoliashore.Platform
 	Timer    *timer.Service
 	Log      log.Interface
+	// Sender, if set, runs every sub-request in place of the host's own
+	// connections. Every target then counts as connected, with as many
+	// connections as its row allows.
+	Sender magnoliashore.Sender
 
 	incarnation magnoliashore.Incarnation
 	events      *event.Log
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -98,9 +98,29 @@
 
 func (w *worker) open() {
 	w.conns = max(1, w.row.Conns()/connShares)
+	if w.host.Sender != nil {
+		w.connection(true)
+		return
+	}
 	w.host.pool.Open(w.target, w.conns)
 }
 
+// standing returns how many connections to the target stand now.
+func (w *worker) standing() int {
+	if w.host.Sender != nil {
+		return w.conns
+	}
+	return w.host.pool.Conns(w.target.ID())
+}
+
+// sender returns what runs the sub-requests.
+func (w *worker) sender() magnoliashore.Sender {
+	if w.host.Sender != nil {
+		return w.host.Sender
+	}
+	return w.host.pool
+}
+
 func (w *worker) end() { w.once.Do(func() { close(w.closed) }) }
 
 func (w *worker) refresh() {
@@ -253,7 +273,7 @@
 // most one of them needs a new connection: if the target was replaced and the
 // break of the old connections is not seen yet, the new process gets one.
 func (w *worker) limit(now time.Time) int {
-	limit := min(w.belief.Limit(now), w.host.pool.Conns(w.target.ID())+1)
+	limit := min(w.belief.Limit(now), w.standing()+1)
 	return w.host.control.ownership.Share(now, w.target.ID(), limit)
 }
 
@@ -387,7 +407,7 @@
 			answer = magnoliashore.Lose(sub, magnoliashore.ReasonFault)
 		}
 	}()
-	return w.host.pool.Send(ctx, sub, t, notAfter)
+	return w.sender().Send(ctx, sub, t, notAfter)
 }
 
 func (w *worker) report(ctx context.Context, message any) {
