--- /dev/null
+++ b/lease/bench_test.go
@@ -0,0 +1,77 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+// BenchmarkTick measures one heartbeat period of one node in a cell of 8
+// seats, with a lease on every key that it wants: its ask, the answers of the
+// 7 other nodes, and its taking of these.
+func BenchmarkTick(b *testing.B) {
+	const seats = 8
+	for _, keys := range []int{7, 15, 60} {
+		b.Run(fmt.Sprintf("keys=%d", keys), func(b *testing.B) {
+			nodes, now := benchNodes(seats, keys)
+			for range 3 {
+				for i := range nodes {
+					benchTick(nodes, i, now)
+				}
+				now = now.Add(time.Second / 2)
+			}
+			if _, ok := nodes[0].Until(now, 1); !ok {
+				b.Fatal("the node has no lease, want one")
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second / 2)
+				benchTick(nodes, 0, now)
+			}
+			if _, ok := nodes[0].Until(now, 1); !ok {
+				b.Fatal("the node lost its lease, want one")
+			}
+		})
+	}
+}
+
+// benchNodes returns settled nodes that each want their own keys, and the
+// time.
+func benchNodes(seats, keys int) ([]*Node, time.Time) {
+	hosts := make([]magnoliashore.HostID, 0, seats)
+	for i := range seats {
+		hosts = append(hosts, hostName(i))
+	}
+	nodes := make([]*Node, 0, seats)
+	for i, host := range hosts {
+		node := New(Config{
+			Self: host, Incarnation: magnoliashore.Incarnation(i + 1),
+			Term: 3 * time.Second, Margin: testMargin, Roster: NewRoster(hosts, nil),
+		}, epoch)
+		wanted := make([]Key, 0, keys)
+		for k := range keys {
+			wanted = append(wanted, Key(i*keys+k+1))
+		}
+		node.Want(epoch, wanted)
+		nodes = append(nodes, node)
+	}
+	now := epoch
+	for range 30 {
+		for i := range nodes {
+			benchTick(nodes, i, now)
+		}
+		now = now.Add(time.Second / 2)
+	}
+	return nodes, now
+}
+
+func benchTick(nodes []*Node, i int, now time.Time) {
+	ask := nodes[i].Ask(now)
+	for j, other := range nodes {
+		if j != i {
+			nodes[i].Take(now, other.Answer(now, ask))
+		}
+	}
+}
--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/lease"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+const (
+	benchQueryBytes  = 128
+	benchAnswerBytes = 256
+	benchSeats       = 8
+	benchKeys        = 15
+)
+
+// BenchmarkBatch measures the frame of the sub-requests that one query sends
+// to one owner.
+func BenchmarkBatch(b *testing.B) {
+	for _, n := range []int{1, 15, 20} {
+		benchmarkCodec(b, fmt.Sprintf("subs=%d", n), benchBatch(n))
+	}
+}
+
+// BenchmarkAnswers measures the frame of their answers.
+func BenchmarkAnswers(b *testing.B) {
+	for _, n := range []int{1, 15, 20} {
+		benchmarkCodec(b, fmt.Sprintf("subs=%d", n), benchAnswers(n))
+	}
+}
+
+// BenchmarkHeartbeat measures a heartbeat in steady state, when it leaves out
+// what the one before it on the connection had.
+func BenchmarkHeartbeat(b *testing.B) {
+	benchmarkCodec(b, fmt.Sprintf("keys=%d", benchKeys), benchHeartbeat())
+}
+
+// benchmarkCodec measures the message on a connection that has carried one
+// like it.
+func benchmarkCodec(b *testing.B, name string, message any) {
+	codec, err := NewCodec(&timer.Service{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var sent, got history
+	first, err := codec.encode(message, &sent)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := codec.decode(first, &got); err != nil {
+		b.Fatal(err)
+	}
+	frame, err := codec.encode(message, &sent)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run(name+"/encode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := codec.encode(message, &sent); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(frame)), "frame-B")
+	})
+	b.Run(name+"/decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := codec.decode(frame, &got); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func benchBatch(n int) Batch {
+	batch := Batch{Order: 1000}
+	body := make([]byte, benchQueryBytes)
+	for i := range n {
+		batch.Subs = append(batch.Subs, magnoliashore.NewSub(magnoliashore.SubSpec{
+			ID: uint64(100_000 + i), Query: "e1-1764800000000-100000",
+			Partition: magnoliashore.PartitionID(fmt.Sprintf("look%02d", i)),
+			Target:    magnoliashore.TargetID(fmt.Sprintf("look%02da", i)),
+			Snapshot:  1, Deadline: time.Now().Add(time.Hour), Body: body,
+		}))
+	}
+	return batch
+}
+
+func benchAnswers(n int) Answers {
+	answers := Answers{Order: 1000}
+	load := magnoliashore.NewLoad(1, 2, 3, false, 8*time.Millisecond)
+	for i := range n {
+		answers.List = append(answers.List, magnoliashore.NewSubAnswer(magnoliashore.SubAnswerSpec{
+			ID:        uint64(100_000 + i),
+			Partition: magnoliashore.PartitionID(fmt.Sprintf("look%02d", i)),
+			Target:    magnoliashore.TargetID(fmt.Sprintf("look%02da", i)),
+			Snapshot:  1, Outcome: magnoliashore.OutcomeRan, Body: make([]byte, benchAnswerBytes), Load: load,
+		}))
+	}
+	return answers
+}
+
+func benchHeartbeat() Heartbeat {
+	heartbeat := Heartbeat{
+		Info: Info{
+			Host: "e1", Incarnation: 1_764_800_000_000, Epoch: 3, Order: 1000, Ready: true,
+			Held: []Held{{Key: "table/ljubljana", Version: 7}, {Key: "layout/ljubljana", Version: 9}},
+		},
+		Ask: lease.Ask{From: "e1", Incarnation: 1_764_800_000_000, Sequence: 1000, Roster: 1 << 60},
+	}
+	for i := range benchSeats {
+		heartbeat.Ask.View = append(heartbeat.Ask.View, lease.Seen{
+			Host: magnoliashore.HostID(fmt.Sprintf("e%d", i+1)), Incarnation: 1_764_800_000_000,
+		})
+	}
+	for i := range benchKeys {
+		heartbeat.Ask.Keys = append(heartbeat.Ask.Keys, lease.Key(1<<31+i))
+	}
+	return heartbeat
+}
