--- a/entry/query_cell_test.go
+++ b/entry/query_cell_test.go
@@ -93,6 +93,7 @@
 	s.Caller = "127.0.0.1:0"
 	s.Peer = "127.0.0.1:0"
 	s.Platform = source
+	s.Limits.Keep = time.Millisecond // nobody holds an address answer when the cell stops
 	return &entry.Host{
 		Settings: s,
 		Platform: &platform.Client{Address: source, HTTP: &http.Client{}, Wait: s.Config.Watch},
