perf(entry): one allocation for the end of an exchange

Cause: the message of an ended exchange was boxed with its answer and evidence, and the linger's closure moved it to the heap once more. Ruled out: nothing else; the heap profile names both lines. Change: the result lies in the job; the linger is a method.

--- a/entry/worker.go
+++ b/entry/worker.go
@@ -31,18 +31,16 @@
 	withdrawn bool
 	until     time.Time // the deadline that the target was told
 	cold      bool      // the target was held cold when the job started
+	answer    magnoliashore.SubAnswer
+	evidence  magnoliashore.Evidence
 }
 
 // Messages of the duty's inbox.
 type (
 	submitted struct{ job *job }
 	withdrawn struct{ job *job }
-	finished  struct {
-		job      *job
-		answer   magnoliashore.SubAnswer
-		evidence magnoliashore.Evidence
-	}
-	released struct{ cold bool } // a slot whose work was cut short is free again
+	finished  struct{ job *job }  // with its answer and evidence
+	released  struct{ cold bool } // a slot whose work was cut short is free again
 )
 
 // worker is the duty of one target: it alone decides what is sent to it.
@@ -179,7 +177,7 @@
 	case withdrawn:
 		w.withdraw(m.job)
 	case finished:
-		w.finish(ctx, m)
+		w.finish(ctx, m.job)
 	case released:
 		w.freeSlot(m.cold)
 	}
@@ -392,8 +390,8 @@
 	w.host.meters.subs.Inc()
 	go func() {
 		defer cancel()
-		answer, evidence := w.send(exchange, sub, t, notAfter)
-		w.report(ctx, finished{job: j, answer: answer, evidence: evidence})
+		j.answer, j.evidence = w.send(exchange, sub, t, notAfter)
+		w.report(ctx, finished{job: j})
 	}()
 }
 
@@ -419,37 +417,40 @@
 
 // finish takes in the end of an exchange. The slot of an exchange that was
 // cut short stays taken for as long as the target may still work on it.
-func (w *worker) finish(ctx context.Context, m finished) {
+func (w *worker) finish(ctx context.Context, j *job) {
 	now := w.host.Timer.Now()
-	delete(w.jobs, m.job.id)
-	w.free(ctx, now, m)
-	w.belief.Learn(now, m.evidence)
-	if m.evidence.Healthy {
-		w.queue.Ran(m.evidence.Took)
-		w.latency += (m.evidence.Took - w.latency) / latencyTau
+	delete(w.jobs, j.id)
+	w.free(ctx, now, j)
+	w.belief.Learn(now, j.evidence)
+	if j.evidence.Healthy {
+		w.queue.Ran(j.evidence.Took)
+		w.latency += (j.evidence.Took - w.latency) / latencyTau
 	}
 	w.reportWarmth(now)
-	w.answer(m.job, m.answer)
+	w.answer(j, j.answer)
 }
 
-func (w *worker) free(ctx context.Context, now time.Time, m finished) {
-	linger := m.job.until.Sub(now)
-	if !m.job.cold {
+func (w *worker) free(ctx context.Context, now time.Time, j *job) {
+	linger := j.until.Sub(now)
+	if !j.cold {
 		linger = min(linger, lingerWarm)
 	}
-	if m.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
-		w.freeSlot(m.job.cold)
+	if j.answer.Outcome() != magnoliashore.OutcomeUnknown || linger <= 0 {
+		w.freeSlot(j.cold)
 		return
 	}
-	go func() {
-		wake := w.host.Timer.After(linger)
-		defer wake.Stop()
-		select {
-		case <-wake.C:
-			w.report(ctx, released{cold: m.job.cold})
-		case <-ctx.Done():
-		}
-	}()
+	go w.releaseAfter(ctx, linger, j.cold)
+}
+
+// releaseAfter reports a slot as free again after a time.
+func (w *worker) releaseAfter(ctx context.Context, linger time.Duration, cold bool) {
+	wake := w.host.Timer.After(linger)
+	defer wake.Stop()
+	select {
+	case <-wake.C:
+		w.report(ctx, released{cold: cold})
+	case <-ctx.Done():
+	}
 }
 
 func (w *worker) freeSlot(cold bool) {
