perf(entry): a context of its own for each target's duty

Cause: the deadline of every exchange of every target was a child of the one context of the host, whose lock and set of children all duties shared. Change: each duty has a context of its own.

--- a/entry/worker.go
+++ b/entry/worker.go
@@ -138,6 +138,8 @@
 // run takes messages until ctx ends or the target is no longer published.
 func (w *worker) run(ctx context.Context) {
 	defer w.host.pool.Close(w.target.ID())
+	ctx, cancel := context.WithCancel(ctx) // of its own, so that exchanges do not contend for the host's
+	defer cancel()
 	var sweep *timer.Subscription
 	var sweeps <-chan time.Time
 	for {
