perf(entry): buffer the ends of exchanges

Cause: an ended exchange held its goroutine until the duty took the message. Change: room for 16 ends.

--- a/entry/worker.go
+++ b/entry/worker.go
@@ -20,6 +20,7 @@
 	lingerWarm  = 10 * time.Millisecond // a warm target's slot after its work was cut short
 	leastWindow = 5 * time.Millisecond  // shortest rest of a lease in which cold work starts
 	latencyTau  = 8                     // answers over which the latency is smoothed
+	doneSize    = 16                    // ended exchanges that wait for the duty without holding a goroutine
 )
 
 // job is one sub-request on its way through the duty of its target.
@@ -75,7 +76,7 @@
 		inbox:  ring.New[any](h.Settings.Limits.Ring),
 		closed: make(chan struct{}),
 		signal: make(chan struct{}, 1),
-		done:   make(chan any),
+		done:   make(chan any, doneSize),
 		target: t,
 		row:    row,
 		queue:  h.newQueue(row.Queue()),
