perf(entry): choose the way to a target without repeated look-ups

Cause: the root asked again for each replica whether it is usable, though the plan holds only those that are, in the same view; and it allocated a list of ways, of hosts and a zone's look-up a replica. Change: the plan's targets are taken as they are; lists lie on the stack.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -40,7 +40,6 @@
 	host    *Host
 	query   magnoliashore.Query
 	plan    plan.Plan
-	view    magnoliashore.View
 	merger  *merge.Merger
 	due     time.Time
 	answers *ring.Ring[magnoliashore.SubAnswer]
@@ -57,7 +56,6 @@
 		host:    h,
 		query:   query,
 		plan:    p,
-		view:    view,
 		merger:  merge.New(p, view, query.Merge()),
 		due:     query.Deadline().Add(-answerReserve),
 		answers: ring.New[magnoliashore.SubAnswer](len(p.Pieces()) * maxAttempts),
@@ -134,7 +132,7 @@
 }
 
 func (g *gatherer) first(p *piece, batches *batches) {
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), exclusion{}, stepStandby)
+	r, ok := g.host.routeTo(p.plan.Targets(), exclusion{}, stepStandby)
 	if !ok {
 		reason := p.plan.Reason()
 		if reason == magnoliashore.ReasonNone {
@@ -260,7 +258,7 @@
 	if costsTarget(answer) && !g.host.budget.Take() {
 		return false
 	}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), p.tried, stepStandby)
+	r, ok := g.host.routeTo(p.plan.Targets(), p.tried, stepStandby)
 	if !ok {
 		return false
 	}
@@ -335,7 +333,7 @@
 	for _, tried := range p.tried.routes {
 		others.targets = append(others.targets, tried.target)
 	}
-	r, ok := g.host.routeTo(g.view, p.plan.Targets(), others, stepOwner)
+	r, ok := g.host.routeTo(p.plan.Targets(), others, stepOwner)
 	if !ok || r.load.Cold() || r.load.Queue() > r.load.Limit() {
 		return
 	}
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -102,26 +102,27 @@
 	c.node.Want(now, keys)
 }
 
-// hostsFor returns the hosts that are the given kind of way to a target.
-func (c *control) hostsFor(id magnoliashore.TargetID, s step) []magnoliashore.HostID {
+// hostsFor appends the hosts that are the given kind of way to a target.
+func (c *control) hostsFor(
+	list []magnoliashore.HostID, id magnoliashore.TargetID, s step,
+) []magnoliashore.HostID {
 	switch s {
 	case stepOwner:
-		return one(c.ownership.Owner(id))
+		if host, ok := c.ownership.Owner(id); ok {
+			return append(list, host)
+		}
 	case stepFormer:
-		if former := c.former.Load(); former != nil && c.ownership == c.leased {
-			return one(former.Owner(id))
+		former := c.former.Load()
+		if former == nil || c.ownership != c.leased {
+			return list
+		}
+		if host, ok := former.Owner(id); ok {
+			return append(list, host)
 		}
-		return nil
 	default:
-		return c.ownership.Standbys(id)
-	}
-}
-
-func one(host magnoliashore.HostID, ok bool) []magnoliashore.HostID {
-	if !ok {
-		return nil
+		return append(list, c.ownership.Standbys(id)...)
 	}
-	return []magnoliashore.HostID{host}
+	return list
 }
 
 // letGo gives back the leases on targets that moved to another owner, as soon
--- a/entry/route.go
+++ b/entry/route.go
@@ -10,11 +10,16 @@
 // route is a replica with the entry host to ask for it.
 type route struct {
 	target magnoliashore.TargetID
+	zone   magnoliashore.ZoneName
 	host   magnoliashore.HostID
 	link   *peer.Link // nil if this host sends to the target itself
 	load   magnoliashore.Load
 }
 
+// waysRoom is how many ways to a partition, and hosts for a target, are
+// compared without an allocation.
+const waysRoom = 4
+
 // batches groups the sub-requests of a query by the host that owns their
 // targets.
 type batches struct {
@@ -72,21 +77,18 @@
 }
 
 // routeTo chooses the best way to one of the targets that is not excluded.
-func (h *Host) routeTo(
-	view magnoliashore.View, targets []magnoliashore.Target, without exclusion, last step,
-) (route, bool) {
+// The targets are usable in the view of the query.
+func (h *Host) routeTo(targets []magnoliashore.Target, without exclusion, last step) (route, bool) {
+	var room [waysRoom]route
 	for s := stepOwner; s <= last; s++ {
-		var ways []route
+		ways := room[:0]
 		for _, t := range targets {
-			if _, ok := view.Usable(t.ID()); !ok {
-				continue
-			}
-			if r, ok := h.way(t.ID(), s, without); ok {
+			if r, ok := h.way(t, s, without); ok {
 				ways = append(ways, r)
 			}
 		}
 		if len(ways) > 0 {
-			return h.choose(view, ways), true
+			return h.choose(ways), true
 		}
 	}
 	return route{}, false
@@ -94,31 +96,33 @@
 
 // way returns a way of the given kind to the target that is open and not
 // excluded.
-func (h *Host) way(id magnoliashore.TargetID, s step, without exclusion) (route, bool) {
-	for _, host := range h.control.hostsFor(id, s) {
-		if r, ok := h.hostRoute(id, host); ok && !without.covers(r) {
+func (h *Host) way(t magnoliashore.Target, s step, without exclusion) (route, bool) {
+	var room [waysRoom]magnoliashore.HostID
+	for _, host := range h.control.hostsFor(room[:0], t.ID(), s) {
+		if r, ok := h.hostRoute(t, host); ok && !without.covers(r) {
 			return r, true
 		}
 	}
 	return route{}, false
 }
 
-func (h *Host) hostRoute(id magnoliashore.TargetID, host magnoliashore.HostID) (route, bool) {
+func (h *Host) hostRoute(t magnoliashore.Target, host magnoliashore.HostID) (route, bool) {
+	r := route{target: t.ID(), zone: t.Zone(), host: host}
 	if host == h.Settings.Host {
-		return route{target: id, host: host}, true
+		return r, true
 	}
 	link, ok := h.control.link(host)
-	return route{target: id, host: host, link: link}, ok
+	r.link = link
+	return r, ok
 }
 
-func (h *Host) choose(view magnoliashore.View, routes []route) route {
+func (h *Host) choose(routes []route) route {
 	if len(routes) == 1 {
 		return routes[0]
 	}
 	candidates := make([]magnoliashore.Candidate, len(routes))
 	for i, r := range routes {
-		t, _ := view.Layout().Target(r.target)
-		candidates[i] = magnoliashore.Candidate{Target: r.target, Owner: r.host, Zone: t.Zone()}
+		candidates[i] = magnoliashore.Candidate{Target: r.target, Owner: r.host, Zone: r.zone}
 		h.loads.fill(&candidates[i])
 		routes[i].load = candidates[i].Load
 	}
