perf(entry): allocate the pieces and attempts of a query together

Cause: a piece, an attempt and its list of routes were allocated one by one. Change: one array of each a query.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -44,6 +44,7 @@
 	due     time.Time
 	answers *ring.Ring[magnoliashore.SubAnswer]
 	pieces  []*piece
+	spare   []attempt // room for the first attempts
 	waiting map[uint64]*attempt
 	left    int
 	sent    int
@@ -62,12 +63,34 @@
 		waiting: make(map[uint64]*attempt, len(p.Pieces())),
 		left:    len(p.Pieces()),
 	}
-	for _, part := range p.Pieces() {
-		g.pieces = append(g.pieces, &piece{plan: part})
-	}
+	g.addPieces(p.Pieces())
 	return g
 }
 
+// addPieces sets the pieces up, with room for one attempt at each.
+func (g *gatherer) addPieces(parts []plan.Piece) {
+	n := len(parts)
+	pieces := make([]piece, n)
+	routes := make([]route, n)
+	g.pieces = make([]*piece, n)
+	g.spare = make([]attempt, n)
+	for i, part := range parts {
+		pieces[i].plan = part
+		pieces[i].tried.routes = routes[i : i : i+1]
+		g.pieces[i] = &pieces[i]
+	}
+}
+
+// newAttempt returns room for an attempt.
+func (g *gatherer) newAttempt() *attempt {
+	if len(g.spare) == 0 {
+		return new(attempt)
+	}
+	a := &g.spare[0]
+	g.spare = g.spare[1:]
+	return a
+}
+
 // run sends the first sub-requests and takes answers until every partition is
 // settled, the deadline comes or the caller gives up.
 func (g *gatherer) run(ctx context.Context) {
@@ -154,7 +177,8 @@
 
 // attempt registers a sub-request of the partition on the route.
 func (g *gatherer) attempt(p *piece, r route, extra bool) *attempt {
-	a := &attempt{
+	a := g.newAttempt()
+	*a = attempt{
 		piece: p,
 		route: r,
 		extra: extra,
