perf(entry): a mailbox for the answers to a query

Cause: the ring of a query had room for four answers a partition, 69 KB at fan-out 120, cleared for each query, and one select an answer. Change: a mailbox with room for one answer a partition, which grows with retries and hedges, at most one an attempt, and is taken as a whole. Nothing is ever refused, as before.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -8,7 +8,6 @@
 	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/merge"
 	"github.com/magnoliashore/magnoliashore/plan"
-	"github.com/magnoliashore/magnoliashore/ring"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -42,7 +41,8 @@
 	plan    plan.Plan
 	merger  *merge.Merger
 	due     time.Time
-	answers *ring.Ring[magnoliashore.SubAnswer]
+	answers *mailbox
+	taken   []magnoliashore.SubAnswer // room that the mailbox gave back
 	pieces  []*piece
 	spare   []attempt // room for the first attempts
 	waiting map[uint64]*attempt
@@ -59,7 +59,7 @@
 		plan:    p,
 		merger:  merge.New(p, view, query.Merge()),
 		due:     query.Deadline().Add(-answerReserve),
-		answers: ring.New[magnoliashore.SubAnswer](len(p.Pieces()) * maxAttempts),
+		answers: newMailbox(len(p.Pieces())),
 		waiting: make(map[uint64]*attempt, len(p.Pieces())),
 		left:    len(p.Pieces()),
 	}
@@ -104,9 +104,8 @@
 		stop(hedge)
 		hedge = g.nextHedge()
 		select {
-		case answer := <-g.answers.Items():
-			g.take(answer)
-			g.takeMore()
+		case <-g.answers.ready:
+			g.takeAll()
 		case now := <-channel(hedge):
 			g.hedge(now)
 		case <-late.C:
@@ -132,13 +131,17 @@
 	return s.C
 }
 
-// takeMore takes the answers that have arrived by now.
-func (g *gatherer) takeMore() {
+// takeAll takes the answers that have arrived by now, and those that a retry
+// gets at once.
+func (g *gatherer) takeAll() {
 	for {
-		select {
-		case answer := <-g.answers.Items():
+		list := g.answers.swap(g.taken)
+		for _, answer := range list {
 			g.take(answer)
-		default:
+		}
+		clear(list)
+		g.taken = list
+		if len(list) == 0 {
 			return
 		}
 	}
@@ -206,9 +209,8 @@
 	}
 }
 
-// reply takes a final answer from any goroutine. The ring has room for every
-// attempt.
-func (g *gatherer) reply(answer magnoliashore.SubAnswer) { g.answers.Push(answer) }
+// reply takes a final answer from any goroutine.
+func (g *gatherer) reply(answer magnoliashore.SubAnswer) { g.answers.put(answer) }
 
 // take merges an answer, or tries another replica, or gives the partition up.
 func (g *gatherer) take(answer magnoliashore.SubAnswer) {
@@ -370,7 +372,7 @@
 
 // giveUp settles every open partition as missing.
 func (g *gatherer) giveUp(reason magnoliashore.Reason) {
-	g.takeMore()
+	g.takeAll()
 	for _, a := range g.waiting {
 		if !a.piece.done {
 			g.merger.Add(magnoliashore.Lose(a.sub, reason))
