perf(peer): encode each frame into one kept buffer

Cause: each frame was encoded, copied behind its kind byte and dropped. Change: the writing duty keeps one buffer, up to 256 KB.

--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -46,23 +46,26 @@
 		b.Fatal(err)
 	}
 	var sent, got history
-	first, err := codec.encode(message, &sent)
+	first, err := codec.encode(nil, message, &sent)
 	if err != nil {
 		b.Fatal(err)
 	}
 	if _, err := codec.decode(first, &got); err != nil {
 		b.Fatal(err)
 	}
-	frame, err := codec.encode(message, &sent)
+	frame, err := codec.encode(nil, message, &sent)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Run(name+"/encode", func(b *testing.B) {
+		var room []byte
 		b.ReportAllocs()
 		for b.Loop() {
-			if _, err := codec.encode(message, &sent); err != nil {
+			out, err := codec.encode(room, message, &sent)
+			if err != nil {
 				b.Fatal(err)
 			}
+			room = keep(out)
 		}
 		b.ReportMetric(float64(len(frame)), "frame-B")
 	})
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,17 +56,18 @@
 }
 
 // encode returns the frame of a message of this package, to send after those
-// in the history.
-func (c *Codec) encode(message any, past *history) ([]byte, error) {
+// in the history. The frame lies in room if it fits; room may be nil.
+func (c *Codec) encode(room []byte, message any, past *history) ([]byte, error) {
 	kind, wire, err := c.toWire(message, past)
 	if err != nil {
 		return nil, err
 	}
-	body, err := cbor.Marshal(wire)
-	if err != nil {
+	out := bytes.NewBuffer(room[:0])
+	out.WriteByte(kind)
+	if err := cbor.MarshalToBuffer(wire, out); err != nil {
 		return nil, errors.Wrapf(err, "encoding frame kind %d", kind)
 	}
-	return append([]byte{kind}, body...), nil
+	return out.Bytes(), nil
 }
 
 func (c *Codec) toWire(message any, past *history) (byte, any, error) {
--- a/peer/session.go
+++ b/peer/session.go
@@ -18,8 +18,9 @@
 	writeTimeout  = 2 * time.Second        // for one frame
 	userTimeout   = 800 * time.Millisecond // after which the kernel drops what it could not deliver
 	handshakeTime = time.Second
-	outboxSize    = 4096 // messages
-	coalesceLimit = 64   // answers in one frame
+	outboxSize    = 4096      // messages
+	coalesceLimit = 64        // answers in one frame
+	roomLimit     = 256 << 10 // bytes that are kept for the next frame
 )
 
 // session is one WebSocket connection with its writing duty.
@@ -29,6 +30,7 @@
 	sent    history // what the other side has of this one
 	got     history // what came from the other side
 	traffic *Traffic
+	room    []byte // for the frame that the writing duty encodes
 	outbox  *ring.Ring[any]
 	done    chan struct{}
 	order   func() uint64
@@ -100,10 +102,11 @@
 }
 
 func (s *session) send(message any) error {
-	frame, err := s.codec.encode(message, &s.sent)
+	frame, err := s.codec.encode(s.room, message, &s.sent)
 	if err != nil {
 		return err
 	}
+	s.room = keep(frame)
 	s.traffic.countSent(frame)
 	if err := s.conn.SetWriteDeadline(s.codec.Clock.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -111,6 +114,14 @@
 	return s.conn.WriteMessage(websocket.BinaryMessage, frame)
 }
 
+// keep returns the room of a frame for the next one, unless it is very large.
+func keep(frame []byte) []byte {
+	if cap(frame) > roomLimit {
+		return nil
+	}
+	return frame[:0]
+}
+
 // read returns the next message. A frame that is malformed gives an error
 // marked as errFrame; the connection itself still stands.
 func (s *session) read() (any, error) {
