--- a/peer/session.go
+++ b/peer/session.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"syscall"
 	"time"
@@ -30,7 +31,8 @@
 	sent    history // what the other side has of this one
 	got     history // what came from the other side
 	traffic *Traffic
-	room    []byte // for the frame that the writing duty encodes
+	room    []byte       // for the frame that the writing duty encodes
+	inbound bytes.Buffer // the frame that was read last
 	outbox  *ring.Ring[any]
 	done    chan struct{}
 	order   func() uint64
@@ -125,7 +127,7 @@
 // read returns the next message. A frame that is malformed gives an error
 // marked as errFrame; the connection itself still stands.
 func (s *session) read() (any, error) {
-	kind, frame, err := s.conn.ReadMessage()
+	kind, frame, err := s.readFrame()
 	if err != nil {
 		return nil, err
 	}
@@ -140,6 +142,21 @@
 	return message, nil
 }
 
+// readFrame returns the next message of the connection. The frame is valid
+// until the next call; decoding copies what it keeps of it.
+func (s *session) readFrame() (kind int, frame []byte, err error) {
+	kind, reader, err := s.conn.NextReader()
+	if err != nil {
+		return kind, nil, err
+	}
+	if s.inbound.Cap() > roomLimit {
+		s.inbound = bytes.Buffer{}
+	}
+	s.inbound.Reset()
+	_, err = s.inbound.ReadFrom(reader)
+	return kind, s.inbound.Bytes(), err
+}
+
 var errFrame = errors.New("malformed frame")
 
 // controlSocket sets TCP_USER_TIMEOUT on a connection between entry hosts.
