perf(entry): look counters up without formatting their names

Cause: each answer and each refusal formatted the name of its counter. Change: counters are kept by the value of their label.

Tried and not taken: goroutines that are kept for the exchanges of a target in place of one a sub.

--- a/entry/meters.go
+++ b/entry/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,34 @@
 	latency  *metrics.Histogram
 	covered  *metrics.Counter
 	missing  *metrics.Counter
+	answers  *labelled
+	refusals *labelled
+}
+
+// labelled is a family of counters that differ in the value of one label.
+type labelled struct {
+	set  *metrics.Set
+	name string // format of the counter's name, with the value as its argument
+
+	mu   sync.Mutex
+	list map[string]*metrics.Counter
+}
+
+func (l *labelled) inc(value string) { l.counter(value).Inc() }
+
+func (l *labelled) counter(value string) *metrics.Counter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counter, ok := l.list[value]
+	if !ok {
+		counter = l.set.GetOrCreateCounter(fmt.Sprintf(l.name, value))
+		l.list[value] = counter
+	}
+	return counter
+}
+
+func newLabelled(set *metrics.Set, name string) *labelled {
+	return &labelled{set: set, name: name, list: make(map[string]*metrics.Counter)}
 }
 
 func newMeters(h *Host) *meters {
@@ -38,13 +67,14 @@
 		latency:  set.NewHistogram("magnoliashore_query_seconds"),
 		covered:  set.NewCounter("magnoliashore_partitions_covered_total"),
 		missing:  set.NewCounter("magnoliashore_partitions_missing_total"),
+		answers:  newLabelled(set, "magnoliashore_queries_total{outcome=%q}"),
+		refusals: newLabelled(set, "magnoliashore_refusals_total{reason=%q}"),
 	}
 }
 
 // answered counts a final answer.
 func (m *meters) answered(answer magnoliashore.Answer, took time.Duration) {
-	name := fmt.Sprintf("magnoliashore_queries_total{outcome=%q}", answer.Outcome())
-	m.set.GetOrCreateCounter(name).Inc()
+	m.answers.inc(answer.Outcome().String())
 	m.latency.Update(took.Seconds())
 	m.covered.Add(answer.Coverage().Covered())
 	m.missing.Add(len(answer.Coverage().Missing()))
@@ -52,7 +82,7 @@
 
 // refused counts a sub-request that was refused at its owner.
 func (m *meters) refused(reason magnoliashore.Reason) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("magnoliashore_refusals_total{reason=%q}", string(reason))).Inc()
+	m.refusals.inc(string(reason))
 }
 
 // Metrics returns the host's metrics, after Prepare.
