fix: a refusal because a target is out needs no budget

Change: another replica of a target that is to get no new work is no extra load. The states test names the state of own closes.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -280,7 +280,7 @@
 	if p.count >= maxAttempts {
 		return false
 	}
-	if !hostRefused(answer) && !g.mayRetry(a) {
+	if !hostRefused(answer) && !g.mayRetry(a, answer) {
 		return false
 	}
 	r, ok := g.host.routeTo(p.plan.Targets(), p.tried, stepStandby)
@@ -312,12 +312,27 @@
 
 // mayRetry takes the attempt's target out of the choice, and reports whether
 // the partition may be tried elsewhere and the budget allows it.
-func (g *gatherer) mayRetry(a *attempt) bool {
+func (g *gatherer) mayRetry(a *attempt, answer magnoliashore.SubAnswer) bool {
 	a.piece.tried.targets = append(a.piece.tried.targets, a.route.target)
 	if g.query.Once() || !a.piece.plan.Service().Retry() {
 		return false
 	}
-	return g.host.budget.Take()
+	return targetIsOut(answer) || g.host.budget.Take()
+}
+
+// targetIsOut reports whether the sub-request was refused because the target
+// is to get no new work, which the root did not know yet. Another target is
+// then no extra load.
+func targetIsOut(answer magnoliashore.SubAnswer) bool {
+	if answer.Outcome() != magnoliashore.OutcomeNotRun {
+		return false
+	}
+	switch answer.Reason() {
+	case magnoliashore.ReasonLeaving, magnoliashore.ReasonZone, magnoliashore.ReasonOff:
+		return true
+	default:
+		return false
+	}
 }
 
 func (g *gatherer) sendExtra(p *piece, r route) {
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -123,10 +123,10 @@
 		{w.broke, "[up down up]"},
 		{w.opened, "[up down up]"},
 		{w.closed, "[up down up]"},
-		{w.closed, "[up down up down]"},
-		{w.opened, "[up down up down up]"},
-		{w.retire, "[up down up down up down]"},
-		{w.broke, "[up down up down up down]"},
+		{w.closed, "[up down up closed]"},
+		{w.opened, "[up down up closed up]"},
+		{w.retire, "[up down up closed up down]"},
+		{w.broke, "[up down up closed up down]"},
 	}
 	for i, step := range steps {
 		step.do()
