refactor: one HTTP server that stops gracefully; leases log at debug

Change: package httpd; events that come once a target are logged at debug and stay in the time line.

--- a/caller/server.go
+++ b/caller/server.go
@@ -3,15 +3,13 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/httpd"
 )
 
 // Bounds of a connection to a caller.
@@ -33,9 +31,7 @@
 	Limit   int                  // bytes of a query; zero means 1 MiB
 	Log     log.Interface        // takes faults; nil for none
 
-	mu        sync.Mutex
-	addr      string
-	listening chan struct{}
+	server httpd.Server
 }
 
 // Run serves callers until ctx ends. Then it accepts nothing more, lets the
@@ -46,65 +42,15 @@
 	if err != nil {
 		return magnoliashore.Step(err, "build router", "")
 	}
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", s.Address)
-	if err != nil {
-		return magnoliashore.Step(err, "listen", s.Address)
-	}
-	s.announce(listener.Addr().String())
-	return s.serve(ctx, newHTTPServer(handler), listener)
+	return s.server.Run(ctx, s.Address, newHTTPServer(handler), drainTimeout)
 }
 
 // Addr returns the address listened on, after Listening is closed.
-func (s *Server) Addr() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.addr
-}
+func (s *Server) Addr() string { return s.server.Addr() }
 
 // Listening returns a channel that is closed when the server accepts
 // connections.
-func (s *Server) Listening() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.channel()
-}
-
-func (s *Server) announce(addr string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.addr = addr
-	close(s.channel())
-}
-
-func (s *Server) channel() chan struct{} {
-	if s.listening == nil {
-		s.listening = make(chan struct{})
-	}
-	return s.listening
-}
-
-func (s *Server) serve(ctx context.Context, server *http.Server, listener net.Listener) error {
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return magnoliashore.Step(err, "serve", s.Addr())
-	case <-ctx.Done():
-	}
-	return shutdown(server, s.Addr())
-}
-
-// shutdown waits for the requests in flight, whose own deadlines bound them.
-func shutdown(server *http.Server, addr string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	err := server.Shutdown(ctx)
-	if err == nil {
-		return nil
-	}
-	return magnoliashore.Step(errors.Join(err, server.Close()), "shut down", addr)
-}
+func (s *Server) Listening() <-chan struct{} { return s.server.Listening() }
 
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
--- a/event/event.go
+++ b/event/event.go
@@ -131,12 +131,23 @@
 	if l.Logs == nil || e.Code() >= QueryRefused {
 		return
 	}
-	l.Logs.WithFields(log.Fields{
+	entry := l.Logs.WithFields(log.Fields{
 		"event":  int(e.Code()),
 		"target": string(e.Target()),
 		"peer":   e.Peer(),
 		"detail": e.Detail(),
-	}).Info(Name(e.Code()))
+	})
+	if perTarget(e.Code()) {
+		entry.Debug(Name(e.Code()))
+		return
+	}
+	entry.Info(Name(e.Code()))
+}
+
+// perTarget reports whether a code comes once for each target, too often for
+// the usual level of the log.
+func perTarget(code magnoliashore.EventCode) bool {
+	return code == LeaseHeld || code == LeaseLost || code == TargetCold || code == TargetWarm
 }
 
 // Order advances the logical clock and returns the reading to send to a peer.
