--- a/entry/gather_extra.go
+++ b/entry/gather_extra.go
@@ -124,6 +124,7 @@
 		return
 	}
 	g.host.meters.hedges.Inc()
+	g.host.emit(magnoliashore.EventSpec{Code: event.QueryHedged, Query: g.query.ID(), Target: r.target})
 	g.sendExtra(p, r)
 	g.planHedge(p, now)
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -153,7 +154,7 @@
 	defer end()
 	serving, stopServing := context.WithCancel(life)
 	defer stopServing()
-	h.emit(magnoliashore.EventSpec{Code: event.Started, Detail: string(h.Settings.Zone)})
+	h.emit(magnoliashore.EventSpec{Code: event.Started, Detail: fmt.Sprintf("incarnation %d", h.incarnation)})
 
 	group, life := errgroup.WithContext(life)
 	h.workers.start(life)
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -68,6 +68,7 @@
 	busy    int
 	latency time.Duration
 	cold    bool
+	out     bool // gets no new work
 	conns   int
 	worked  time.Time // when the last request was started
 	probing bool      // a probe is under way
@@ -228,6 +229,7 @@
 // follow takes in changes of the row and the address.
 func (w *worker) follow() {
 	view := w.host.view()
+	w.reportUsable(view)
 	t, ok := view.Layout().Target(w.target.ID())
 	if !ok {
 		return
@@ -244,6 +246,15 @@
 	}
 }
 
+// reportUsable emits an event when the target is no longer to get new work.
+func (w *worker) reportUsable(view magnoliashore.View) {
+	reason, usable := view.Usable(w.target.ID())
+	if !usable && !w.out {
+		w.host.emit(magnoliashore.EventSpec{Code: event.TargetOut, Target: w.target.ID(), Detail: string(reason)})
+	}
+	w.out = !usable
+}
+
 func (w *worker) reportWarmth(now time.Time) {
 	cold := w.belief.Cold(now)
 	if cold == w.cold {
--- a/entry/worker_send.go
+++ b/entry/worker_send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/event"
 )
 
 // dispatch starts queued jobs while the target has room.
@@ -117,9 +118,23 @@
 		w.latency += (j.evidence.Took - w.latency) / latencyTau
 	}
 	w.reportWarmth(now)
+	w.reportReply(j)
 	w.answer(j, j.answer)
 }
 
+// reportReply emits an event for a reply that could not be used.
+func (w *worker) reportReply(j *job) {
+	if j.answer.Outcome() != magnoliashore.OutcomeUnknown {
+		return
+	}
+	switch reason := j.answer.Reason(); reason {
+	case magnoliashore.ReasonInvalid, magnoliashore.ReasonSnapshot:
+		w.host.emit(magnoliashore.EventSpec{
+			Code: event.TargetReply, Query: j.sub.Query(), Target: w.target.ID(), Detail: string(reason),
+		})
+	}
+}
+
 func (w *worker) free(ctx context.Context, now time.Time, j *job) {
 	linger := j.until.Sub(now) + w.host.Settings.Lease.Margin // for the target to see the cut
 	if !j.cold {
--- a/event/event.go
+++ b/event/event.go
@@ -3,6 +3,8 @@
 package event
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/apex/log"
@@ -88,43 +90,54 @@
 }
 
 // Log keeps the latest events of one process and hands out its logical clock.
-// Set the fields before the first Emit.
+// Events of queries have a place of their own, so that a flood of them does
+// not push out the others. Set the fields before the first Emit.
 type Log struct {
 	Clock magnoliashore.Clock
 	Host  magnoliashore.HostID
-	Size  int           // events kept
-	Logs  log.Interface // where important events are logged too; nil for none
+	Size  int           // events kept of queries, and as many of the rest
+	Logs  log.Interface // where events of the host and its peers are logged too; nil for none
 
-	mu     sync.Mutex
-	order  uint64
-	events []magnoliashore.Event
-	next   int
+	mu      sync.Mutex
+	order   uint64
+	queries latest
+	rest    latest
 }
 
 var _ magnoliashore.Events = (*Log)(nil)
 
-// Emit stamps and keeps the event. The oldest one is dropped if the log is
-// full.
-func (l *Log) Emit(e magnoliashore.Event) {
-	now := l.Clock.Now()
-	l.mu.Lock()
-	l.order++
-	stamped := e.Stamp(now, l.order)
-	l.keep(stamped)
-	l.mu.Unlock()
-	l.write(stamped)
+// latest keeps the newest events up to a size.
+type latest struct {
+	events []magnoliashore.Event
+	next   int // place of the oldest one, once full
 }
 
-func (l *Log) keep(e magnoliashore.Event) {
-	if len(l.events) < l.Size {
+func (l *latest) add(e magnoliashore.Event, size int) {
+	if len(l.events) < size {
 		l.events = append(l.events, e)
 		return
 	}
-	if l.Size == 0 {
+	if size == 0 {
 		return
 	}
 	l.events[l.next] = e
-	l.next = (l.next + 1) % l.Size
+	l.next = (l.next + 1) % size
+}
+
+// Emit stamps and keeps the event. The oldest one is dropped if there is no
+// room.
+func (l *Log) Emit(e magnoliashore.Event) {
+	now := l.Clock.Now()
+	l.mu.Lock()
+	l.order++
+	stamped := e.Stamp(now, l.order)
+	if e.Code() >= QueryRefused {
+		l.queries.add(stamped, l.Size)
+	} else {
+		l.rest.add(stamped, l.Size)
+	}
+	l.mu.Unlock()
+	l.write(stamped)
 }
 
 func (l *Log) write(e magnoliashore.Event) {
@@ -169,7 +182,9 @@
 func (l *Log) Events() []magnoliashore.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]magnoliashore.Event, 0, len(l.events))
-	out = append(out, l.events[l.next:]...)
-	return append(out, l.events[:l.next]...)
+	out := make([]magnoliashore.Event, 0, len(l.queries.events)+len(l.rest.events))
+	out = append(out, l.queries.events...)
+	out = append(out, l.rest.events...)
+	slices.SortFunc(out, func(a, b magnoliashore.Event) int { return cmp.Compare(a.Order(), b.Order()) })
+	return out
 }
