fix(entry): a partition that no host could be asked for did not run

Cause: found by reading: such a partition of a query that runs once left the outcome unknown, though nothing was sent. Change: it counts as refused.

--- a/entry/gather.go
+++ b/entry/gather.go
@@ -168,6 +168,7 @@
 		if reason == magnoliashore.ReasonNone {
 			reason = magnoliashore.ReasonOwner
 		}
+		g.merger.Add(g.unsent(p, reason))
 		g.fail(p, reason)
 		return
 	}
@@ -176,6 +177,15 @@
 	g.planHedge(p, a.at)
 }
 
+// unsent returns the answer for a partition that no host could be asked for:
+// it certainly did not run.
+func (g *gatherer) unsent(p *piece, reason magnoliashore.Reason) magnoliashore.SubAnswer {
+	sub := magnoliashore.NewSub(magnoliashore.SubSpec{
+		Query: g.query.ID(), Partition: p.plan.Partition(), Snapshot: g.plan.Snapshot(),
+	})
+	return magnoliashore.Refuse(sub, reason, 0)
+}
+
 // attempt registers a sub-request of the partition on the route.
 func (g *gatherer) attempt(p *piece, r route, extra bool) *attempt {
 	a := g.newAttempt()
