fix(standin): the ledger's start is taken with the fault in force

The time was taken before the lock, the fault after it. Ruled out: a part merged from a faulty reply (the body was right). Change: both under one lock; the test is unchanged.

--- a/standin/core.go
+++ b/standin/core.go
@@ -91,7 +91,7 @@
 		return reason, true
 	}
 	if len(c.running) < c.cfg.Slots {
-		c.start(j, now)
+		c.start(j)
 		return "", true
 	}
 	if len(c.waiting) >= c.cfg.Shed {
@@ -122,12 +122,12 @@
 }
 
 // start runs the job; a cold target with too many jobs falls over.
-func (c *core) start(j *job, now time.Time) {
+func (c *core) start(j *job) {
 	c.running[j] = struct{}{}
 	j.begun = true
 	j.cold = c.cold
 	j.told = c.told
-	j.started = now
+	j.started = time.Now() // under the lock that guards the fault too
 	j.running = len(c.running)
 	j.takes = c.draw()
 	j.fault = c.fault
@@ -203,7 +203,7 @@
 			close(j.ready)
 			continue
 		}
-		c.start(j, now)
+		c.start(j)
 	}
 }
 
