fix(target): close idle connections before targets do

Ruled out: taking a close while others stand for idle, since a replaced process closes them one by one too. Change: connections are closed here after 2 s without use.

--- a/target/link.go
+++ b/target/link.go
@@ -13,6 +13,9 @@
 const (
 	writeBuffer = 16 << 10 // bytes; a request up to this size is one write
 	headerLimit = 32 << 10 // bytes of reply headers
+	// idleTime is how long a connection may be unused. It ends before targets
+	// usually close one, which would look like the end of their process.
+	idleTime = 2 * time.Second
 )
 
 // link is the set of connections to one target at one address.
@@ -48,6 +51,7 @@
 		MaxIdleConnsPerHost:    conns,
 		MaxResponseHeaderBytes: headerLimit,
 		WriteBufferSize:        writeBuffer,
+		IdleConnTimeout:        idleTime,
 	}
 	return l
 }
