--- a/event/event_test.go
+++ b/event/event_test.go
@@ -15,8 +15,9 @@
 	} {
 		l.Emit(magnoliashore.NewEvent(magnoliashore.EventSpec{Code: code}))
 	}
-	var got []magnoliashore.EventCode
-	for _, e := range l.Events() {
+	events := l.Events()
+	got := make([]magnoliashore.EventCode, 0, len(events))
+	for _, e := range events {
 		got = append(got, e.Code())
 	}
 	want := []magnoliashore.EventCode{LeaseHeld, QueryRestarted, LeaseLost, QueryHedged}
