refactor(entry): one check of a forwarded query's error

Cause: read once more: the check for ErrLink stood beside one that covers it. Ruled out for now: one codec for the stand-in's ledger lines (load and standin each have theirs), since it touches the stand-in's API. Change: the covered check is gone; behaviour is the same.

--- a/entry/tickets.go
+++ b/entry/tickets.go
@@ -5,11 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/event"
-	"github.com/magnoliashore/magnoliashore/peer"
 	"github.com/magnoliashore/magnoliashore/ticket"
 )
 
@@ -120,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, query.Deadline().Sub(h.Timer.Now())+forwardWait)
 	defer cancel()
 	answer, err := link.Forward(ctx, query)
-	if errors.Is(err, peer.ErrLink) || err != nil {
+	if err != nil {
 		return h.unknown(query, magnoliashore.ReasonTicket, "the entry host that the ticket names did not answer")
 	}
 	return answer
