--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -13,7 +13,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/entry"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/settings"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
@@ -52,7 +52,7 @@
 	}
 	host := &entry.Host{
 		Settings: s,
-		Platform: &platform.Client{Address: s.Platform, HTTP: &http.Client{}, Wait: s.Config.Watch},
+		Platform: &configservice.Client{Address: s.Platform, HTTP: &http.Client{}, Wait: s.Config.Watch},
 		Timer:    &timer.Service{},
 		Log:      (&log.Logger{Handler: logfmt.New(os.Stderr), Level: level}).WithField("host", string(s.Host)),
 	}
--- a/cmd/standin/root_test.go
+++ b/cmd/standin/root_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 )
 
@@ -59,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	layout, err := platform.DecodeLayout(1, []byte(text))
+	layout, err := configservice.DecodeLayout(1, []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/standin/shape.go
+++ b/cmd/standin/shape.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 )
 
@@ -96,7 +96,7 @@
 		seats = c.defaultSeats(shape)
 	}
 	layout := shape.Layout(func(id string) string { return addresses[id] }, seats)
-	return platform.EncodeLayout(layout)
+	return configservice.EncodeLayout(layout)
 }
 
 // defaultSeats returns seats on consecutive ports, spread over the zones.
--- a/platform/client_test.go
+++ b/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 )
 
-func startPlatform(t *testing.T) (*standin.Platform, platform.Client) {
+func startPlatform(t *testing.T) (*standin.Platform, configservice.Client) {
 	t.Helper()
 	p := &standin.Platform{}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -29,14 +29,14 @@
 		}
 	})
 	<-p.Ready()
-	return p, platform.Client{Address: p.Addr(), Wait: 50 * time.Millisecond}
+	return p, configservice.Client{Address: p.Addr(), Wait: 50 * time.Millisecond}
 }
 
 func TestClientRead(t *testing.T) {
 	t.Parallel()
 	p, client := startPlatform(t)
-	if _, err := client.Read(t.Context(), key); !errors.Is(err, platform.ErrAbsent) {
-		t.Errorf("got %v, want %v", err, platform.ErrAbsent)
+	if _, err := client.Read(t.Context(), key); !errors.Is(err, configservice.ErrAbsent) {
+		t.Errorf("got %v, want %v", err, configservice.ErrAbsent)
 	}
 	p.Publish(key, []byte("one"))
 	p.Publish(key, []byte("two"))
@@ -52,11 +52,11 @@
 func TestClientReadSize(t *testing.T) {
 	t.Parallel()
 	p, client := startPlatform(t)
-	p.Publish(key, make([]byte, platform.MaxValue))
+	p.Publish(key, make([]byte, configservice.MaxValue))
 	if _, err := client.Read(t.Context(), key); err != nil {
 		t.Errorf("1 MiB: got %v, want none", err)
 	}
-	p.Publish(key, make([]byte, platform.MaxValue+1))
+	p.Publish(key, make([]byte, configservice.MaxValue+1))
 	_, err := client.Read(t.Context(), key)
 	if err == nil || !strings.Contains(err.Error(), "more than 1048576 bytes") {
 		t.Errorf("over 1 MiB: got %v, want an error", err)
@@ -107,7 +107,7 @@
 				handler(w, r)
 			}))
 			defer server.Close()
-			client := platform.Client{Address: server.Listener.Addr().String(), Wait: 50 * time.Millisecond}
+			client := configservice.Client{Address: server.Listener.Addr().String(), Wait: 50 * time.Millisecond}
 			ctx, cancel := context.WithTimeout(t.Context(), 220*time.Millisecond)
 			defer cancel()
 			_, _ = client.Watch(ctx, key, 1)
@@ -139,7 +139,7 @@
 				w.WriteHeader(test.status)
 			}))
 			defer server.Close()
-			client := platform.Client{Address: server.Listener.Addr().String()}
+			client := configservice.Client{Address: server.Listener.Addr().String()}
 			_, err := client.Read(t.Context(), key)
 			if err == nil || !strings.Contains(err.Error(), test.want) {
 				t.Errorf("got %v, want %q", err, test.want)
@@ -180,7 +180,7 @@
 	}
 	p.SetMode(standin.Up)
 	time.AfterFunc(20*time.Millisecond, func() { p.SetMode(standin.Down) })
-	slow := platform.Client{Address: p.Addr(), Wait: 5 * time.Second}
+	slow := configservice.Client{Address: p.Addr(), Wait: 5 * time.Second}
 	start := time.Now()
 	if _, err := slow.Watch(t.Context(), key, 2); err == nil || time.Since(start) > 3*time.Second {
 		t.Errorf("held watch: got %v after %v, want an error at once", err, time.Since(start))
--- a/platform/codec_test.go
+++ b/configservice/codec_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 )
 
 func readLayout(t *testing.T) []byte {
@@ -24,11 +24,11 @@
 func TestLayoutRoundTrip(t *testing.T) {
 	t.Parallel()
 	want := readLayout(t)
-	layout, err := platform.DecodeLayout(7, want)
+	layout, err := configservice.DecodeLayout(7, want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := platform.EncodeLayout(layout)
+	got, err := configservice.EncodeLayout(layout)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +50,7 @@
 func TestEncodeLayoutRefusesInvalid(t *testing.T) {
 	t.Parallel()
 	layout := magnoliashore.NewLayout(magnoliashore.LayoutSpec{Cell: "ljubljana"})
-	_, err := platform.EncodeLayout(layout)
+	_, err := configservice.EncodeLayout(layout)
 	want := "seats: there are 0, allowed are 1 to 9"
 	if err == nil || err.Error() != want {
 		t.Errorf("got %v, want %q", err, want)
@@ -107,7 +107,7 @@
 			if data == string(readLayout(t)) {
 				t.Fatalf("%q does not occur", test.old)
 			}
-			_, err := platform.DecodeLayout(1, []byte(data))
+			_, err := configservice.DecodeLayout(1, []byte(data))
 			if err == nil || !strings.Contains(err.Error(), test.want) {
 				t.Errorf("got %v, want %q", err, test.want)
 			}
@@ -118,12 +118,12 @@
 func TestDecodeLayoutTrailingData(t *testing.T) {
 	t.Parallel()
 	for _, tail := range []string{"{}", "x", "]"} {
-		_, err := platform.DecodeLayout(1, append(readLayout(t), tail...))
+		_, err := configservice.DecodeLayout(1, append(readLayout(t), tail...))
 		if err == nil || !strings.Contains(err.Error(), "data follows the end of the object") {
 			t.Errorf("tail %q: got %v, want an error", tail, err)
 		}
 	}
-	if _, err := platform.DecodeLayout(1, append(readLayout(t), " \n"...)); err != nil {
+	if _, err := configservice.DecodeLayout(1, append(readLayout(t), " \n"...)); err != nil {
 		t.Errorf("white space at the end: got %v, want none", err)
 	}
 }
@@ -139,15 +139,15 @@
 			at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
 			data[at] = rapid.SampledFrom([]byte(`0129-e."{}[],:ab `)).Draw(t, "byte")
 		}
-		layout, err := platform.DecodeLayout(1, data)
+		layout, err := configservice.DecodeLayout(1, data)
 		if err != nil {
 			return
 		}
-		again, err := platform.EncodeLayout(layout)
+		again, err := configservice.EncodeLayout(layout)
 		if err != nil {
 			t.Fatalf("%s: got %v, want none", data, err)
 		}
-		if _, err := platform.DecodeLayout(1, again); err != nil {
+		if _, err := configservice.DecodeLayout(1, again); err != nil {
 			t.Fatalf("%s: got %v, want none", again, err)
 		}
 	})
@@ -155,8 +155,8 @@
 
 func TestDecodeLayoutSize(t *testing.T) {
 	t.Parallel()
-	data := append(readLayout(t), bytes.Repeat([]byte(" "), platform.MaxValue)...)
-	if _, err := platform.DecodeLayout(1, data); err == nil {
+	data := append(readLayout(t), bytes.Repeat([]byte(" "), configservice.MaxValue)...)
+	if _, err := configservice.DecodeLayout(1, data); err == nil {
 		t.Error("got no error, want one for a value over 1 MiB")
 	}
 }
--- a/platform/convert.go
+++ b/configservice/convert.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import "github.com/magnoliashore/magnoliashore"
 
--- a/platform/platform.go
+++ b/configservice/platform.go
@@ -1,7 +1,7 @@
-// Package platform provides access to the users' configuration service: the
+// Package configservice provides access to the users' configuration service: the
 // HTTP client, the codec of the layout, the configuration in force, and the
 // rule by which the entry hosts of a cell share the reads.
-package platform
+package configservice
 
 import "github.com/cockroachdb/errors"
 
--- a/platform/reader_test.go
+++ b/configservice/reader_test.go
@@ -1,11 +1,11 @@
-package platform_test
+package configservice_test
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 )
 
 func TestReaderDuty(t *testing.T) {
@@ -16,23 +16,23 @@
 		rank  int
 		heard []time.Duration // after start
 		at    time.Duration
-		want  platform.Duty
+		want  configservice.Duty
 	}{
-		{"rank 0 at once", 0, nil, 0, platform.Watch},
-		{"rank 0 though others read", 0, []time.Duration{time.Second}, time.Second, platform.Watch},
-		{"rank 1 at the start", 1, nil, 0, platform.Idle},
-		{"rank 1 before the silence ends", 1, nil, 1999 * time.Millisecond, platform.Idle},
-		{"rank 1 after silence", 1, nil, 2 * time.Second, platform.Watch},
-		{"rank 3 leaves time for 1 and 2", 3, nil, 5999 * time.Millisecond, platform.Idle},
-		{"rank 3 after silence", 3, nil, 6 * time.Second, platform.Watch},
-		{"rank 1 heard of a reader", 1, []time.Duration{time.Second}, 2 * time.Second, platform.Idle},
-		{"rank 1 steps back", 1, []time.Duration{9 * time.Second}, 10 * time.Second, platform.Idle},
-		{"an old report does not count", 1, []time.Duration{5 * time.Second, time.Second}, 6 * time.Second, platform.Idle},
+		{"rank 0 at once", 0, nil, 0, configservice.Watch},
+		{"rank 0 though others read", 0, []time.Duration{time.Second}, time.Second, configservice.Watch},
+		{"rank 1 at the start", 1, nil, 0, configservice.Idle},
+		{"rank 1 before the silence ends", 1, nil, 1999 * time.Millisecond, configservice.Idle},
+		{"rank 1 after silence", 1, nil, 2 * time.Second, configservice.Watch},
+		{"rank 3 leaves time for 1 and 2", 3, nil, 5999 * time.Millisecond, configservice.Idle},
+		{"rank 3 after silence", 3, nil, 6 * time.Second, configservice.Watch},
+		{"rank 1 heard of a reader", 1, []time.Duration{time.Second}, 2 * time.Second, configservice.Idle},
+		{"rank 1 steps back", 1, []time.Duration{9 * time.Second}, 10 * time.Second, configservice.Idle},
+		{"an old report does not count", 1, []time.Duration{5 * time.Second, time.Second}, 6 * time.Second, configservice.Idle},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			r := platform.NewReader(platform.ReaderConfig{Rank: test.rank, Quiet: 2 * time.Second})
+			r := configservice.NewReader(configservice.ReaderConfig{Rank: test.rank, Quiet: 2 * time.Second})
 			r.Duty(start)
 			for _, after := range test.heard {
 				r.Heard(start.Add(after))
@@ -48,7 +48,7 @@
 	t.Parallel()
 	const poll = 10 * time.Second
 	now := time.Unix(1000, 0)
-	r := platform.NewReader(platform.ReaderConfig{
+	r := configservice.NewReader(configservice.ReaderConfig{
 		Rank: 1, Poll: poll, Quiet: time.Second, Rand: rand.New(rand.NewPCG(1, 1)),
 	})
 	var sum time.Duration
--- a/platform/store_test.go
+++ b/configservice/store_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 )
 
 const key = "cells/ljubljana/table"
@@ -28,7 +28,7 @@
 	type step struct {
 		version magnoliashore.Version
 		data    string
-		want    platform.Verdict
+		want    configservice.Verdict
 		fails   bool
 	}
 	tests := []struct {
@@ -38,24 +38,24 @@
 		seen    magnoliashore.Version
 	}{
 		{"none", nil, 0, 0},
-		{"rising", []step{{1, "a", platform.Applied, false}, {2, "b", platform.Applied, false}}, 2, 2},
-		{"old", []step{{2, "b", platform.Applied, false}, {1, "a", platform.Old, false}}, 2, 2},
-		{"same", []step{{2, "b", platform.Applied, false}, {2, "b", platform.Same, false}}, 2, 2},
-		{"conflict", []step{{2, "b", platform.Applied, false}, {2, "c", platform.Invalid, true}}, 2, 2},
-		{"zero", []step{{0, "a", platform.Invalid, true}}, 0, 0},
-		{"invalid", []step{{1, "a", platform.Applied, false}, {3, "-", platform.Invalid, true}}, 1, 3},
-		{"panic", []step{{1, "a", platform.Applied, false}, {2, "panic", platform.Invalid, true}}, 1, 2},
-		{"invalid again", []step{{3, "-", platform.Invalid, true}, {3, "-", platform.Invalid, true}}, 0, 3},
-		{"invalid, then other bytes", []step{{3, "-", platform.Invalid, true}, {3, "c", platform.Invalid, true}}, 0, 3},
+		{"rising", []step{{1, "a", configservice.Applied, false}, {2, "b", configservice.Applied, false}}, 2, 2},
+		{"old", []step{{2, "b", configservice.Applied, false}, {1, "a", configservice.Old, false}}, 2, 2},
+		{"same", []step{{2, "b", configservice.Applied, false}, {2, "b", configservice.Same, false}}, 2, 2},
+		{"conflict", []step{{2, "b", configservice.Applied, false}, {2, "c", configservice.Invalid, true}}, 2, 2},
+		{"zero", []step{{0, "a", configservice.Invalid, true}}, 0, 0},
+		{"invalid", []step{{1, "a", configservice.Applied, false}, {3, "-", configservice.Invalid, true}}, 1, 3},
+		{"panic", []step{{1, "a", configservice.Applied, false}, {2, "panic", configservice.Invalid, true}}, 1, 2},
+		{"invalid again", []step{{3, "-", configservice.Invalid, true}, {3, "-", configservice.Invalid, true}}, 0, 3},
+		{"invalid, then other bytes", []step{{3, "-", configservice.Invalid, true}, {3, "c", configservice.Invalid, true}}, 0, 3},
 		{"valid below an invalid one", []step{
-			{1, "a", platform.Applied, false}, {3, "-", platform.Invalid, true}, {2, "b", platform.Applied, false},
+			{1, "a", configservice.Applied, false}, {3, "-", configservice.Invalid, true}, {2, "b", configservice.Applied, false},
 		}, 2, 3},
-		{"valid above an invalid one", []step{{3, "-", platform.Invalid, true}, {4, "d", platform.Applied, false}}, 4, 4},
+		{"valid above an invalid one", []step{{3, "-", configservice.Invalid, true}, {4, "d", configservice.Applied, false}}, 4, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			store := platform.NewStore(check)
+			store := configservice.NewStore(check)
 			for _, s := range test.steps {
 				got, err := store.Offer(magnoliashore.NewValue(key, s.version, []byte(s.data)))
 				if got != s.want || (err != nil) != s.fails {
@@ -77,11 +77,11 @@
 
 func TestStoreConflictIsNamed(t *testing.T) {
 	t.Parallel()
-	store := platform.NewStore(nil)
+	store := configservice.NewStore(nil)
 	_, _ = store.Offer(magnoliashore.NewValue(key, 1, []byte("a")))
 	_, err := store.Offer(magnoliashore.NewValue(key, 1, []byte("b")))
-	if !errors.Is(err, platform.ErrConflict) {
-		t.Errorf("got %v, want %v", err, platform.ErrConflict)
+	if !errors.Is(err, configservice.ErrConflict) {
+		t.Errorf("got %v, want %v", err, configservice.ErrConflict)
 	}
 	got, _ := store.Get(key)
 	if want := "a"; string(got.Data()) != want {
@@ -96,7 +96,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		data := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "-", "b"}), 1, 8).Draw(t, "data")
 		order := rapid.SliceOfN(rapid.IntRange(0, len(data)-1), 0, 24).Draw(t, "order")
-		store := platform.NewStore(check)
+		store := configservice.NewStore(check)
 		var want, last magnoliashore.Version
 		for _, i := range order {
 			version := magnoliashore.Version(i + 1)
--- a/entry/config.go
+++ b/entry/config.go
@@ -12,7 +12,7 @@
 	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/operator"
 	"github.com/magnoliashore/magnoliashore/peer"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 )
 
 // Times of the configuration duty.
@@ -33,8 +33,8 @@
 	consulted atomic.Bool // peers were asked for a newer configuration
 
 	mu      sync.Mutex
-	store   *platform.Store
-	reader  *platform.Reader
+	store   *configservice.Store
+	reader  *configservice.Reader
 	decoded magnoliashore.Layout // the newest layout seen
 	hosts   magnoliashore.HostList
 	hostsAt time.Time
@@ -47,18 +47,18 @@
 func newConfig(h *Host) *config {
 	c := &config{
 		host:    h,
-		keys:    []string{platform.TableKey(h.Settings.Cell), platform.LayoutKey(h.Settings.Cell)},
+		keys:    []string{configservice.TableKey(h.Settings.Cell), configservice.LayoutKey(h.Settings.Cell)},
 		changed: make(chan struct{}, 1),
 		started: h.Timer.Now(),
 		heard:   make(map[magnoliashore.HostID]bool),
 	}
-	c.store = platform.NewStore(c.check)
+	c.store = configservice.NewStore(c.check)
 	c.reader = c.newReader()
 	return c
 }
 
-func (c *config) newReader() *platform.Reader {
-	return platform.NewReader(platform.ReaderConfig{
+func (c *config) newReader() *configservice.Reader {
+	return configservice.NewReader(configservice.ReaderConfig{
 		Rank: c.rank, Poll: c.host.Settings.Config.Poll, Quiet: c.host.Settings.Config.Quiet,
 	})
 }
@@ -70,7 +70,7 @@
 		_, err := operator.DecodeTable(v.Version(), v.Data())
 		return err
 	}
-	_, err := platform.DecodeLayout(v.Version(), v.Data())
+	_, err := configservice.DecodeLayout(v.Version(), v.Data())
 	return err
 }
 
@@ -130,7 +130,7 @@
 	if c.decoded.Version() == value.Version() {
 		return c.decoded, true
 	}
-	layout, err := platform.DecodeLayout(value.Version(), value.Data())
+	layout, err := configservice.DecodeLayout(value.Version(), value.Data())
 	if err != nil {
 		return magnoliashore.Layout{}, false
 	}
@@ -142,23 +142,23 @@
 func (c *config) offer(v magnoliashore.Value, from string) {
 	c.mu.Lock()
 	verdict, err := c.store.Offer(v)
-	if verdict == platform.Applied {
+	if verdict == configservice.Applied {
 		c.rebuild()
 	}
 	c.mu.Unlock()
 	c.report(v, verdict, err, from)
 }
 
-func (c *config) report(v magnoliashore.Value, verdict platform.Verdict, err error, from string) {
+func (c *config) report(v magnoliashore.Value, verdict configservice.Verdict, err error, from string) {
 	spec := magnoliashore.EventSpec{Peer: from, Detail: fmt.Sprintf("%s version %d", v.Key(), v.Version())}
 	switch {
-	case verdict == platform.Applied:
+	case verdict == configservice.Applied:
 		spec.Code = event.ConfigApplied
 		c.mark()
 	case err != nil:
 		spec.Code = event.ConfigInvalid
 		spec.Detail += ": " + err.Error()
-	case verdict == platform.Old:
+	case verdict == configservice.Old:
 		spec.Code = event.ConfigStale
 	default:
 		return
--- a/entry/config_read.go
+++ b/entry/config_read.go
@@ -8,7 +8,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/event"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -24,14 +24,14 @@
 		c.mu.Lock()
 		duty := c.reader.Duty(c.host.Timer.Now())
 		c.mu.Unlock()
-		if duty == platform.Watch && watching == nil {
+		if duty == configservice.Watch && watching == nil {
 			watching = c.watch(ctx)
 		}
-		if duty != platform.Watch && watching != nil {
+		if duty != configservice.Watch && watching != nil {
 			watching()
 			watching = nil
 		}
-		if duty == platform.Watch {
+		if duty == configservice.Watch {
 			c.readAll(ctx)
 		}
 		c.pause(ctx)
@@ -92,7 +92,7 @@
 			c.offer(value, "platform")
 			continue
 		}
-		if !errors.Is(err, platform.ErrAbsent) {
+		if !errors.Is(err, configservice.ErrAbsent) {
 			failed = errors.CombineErrors(failed, err)
 		}
 	}
--- a/entry/query_cell_test.go
+++ b/entry/query_cell_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/entry"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/settings"
 	"github.com/magnoliashore/magnoliashore/standin"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -75,12 +75,12 @@
 		group.Go(func() { _ = h.Run(ctx) })
 		<-h.Listening()
 	}
-	layout, err := platform.EncodeLayout(w.layout())
+	layout, err := configservice.EncodeLayout(w.layout())
 	if err != nil {
 		b.Fatal(err)
 	}
-	source.Publish(platform.TableKey(wideCell), w.table())
-	source.Publish(platform.LayoutKey(wideCell), layout)
+	source.Publish(configservice.TableKey(wideCell), w.table())
+	source.Publish(configservice.LayoutKey(wideCell), layout)
 	w.await(b, w.leased)
 	w.await(b, w.warm)
 }
@@ -96,7 +96,7 @@
 	s.Limits.Keep = time.Millisecond // nobody holds an address answer when the cell stops
 	return &entry.Host{
 		Settings: s,
-		Platform: &platform.Client{Address: source, HTTP: &http.Client{}, Wait: s.Config.Watch},
+		Platform: &configservice.Client{Address: source, HTTP: &http.Client{}, Wait: s.Config.Watch},
 		Timer:    &w.clock,
 		Log:      &log.Logger{Handler: discard.New()},
 		Sender:   instant{body: make([]byte, answerBytes)},
--- a/load/faults.go
+++ b/load/faults.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
@@ -122,7 +122,7 @@
 		return errors.Newf("the table has no row of zone %s with the state %s", zone, from)
 	}
 	i.table = strings.Join(lines, "\n")
-	return i.Site.publish(ctx, platform.TableKey(i.Cell), []byte(i.table))
+	return i.Site.publish(ctx, configservice.TableKey(i.Cell), []byte(i.table))
 }
 
 // snapshots makes every target serve the snapshots with the given numbers,
@@ -135,11 +135,11 @@
 			return err
 		}
 	}
-	layout, err := platform.EncodeLayout(i.withSnapshots(ids))
+	layout, err := configservice.EncodeLayout(i.withSnapshots(ids))
 	if err != nil {
 		return err
 	}
-	if err := i.Site.publish(ctx, platform.LayoutKey(i.Cell), layout); err != nil {
+	if err := i.Site.publish(ctx, configservice.LayoutKey(i.Cell), layout); err != nil {
 		return err
 	}
 	if fresh {
--- a/load/remote.go
+++ b/load/remote.go
@@ -16,7 +16,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/caller/client"
 	"github.com/magnoliashore/magnoliashore/operator"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
@@ -80,20 +80,20 @@
 }
 
 func (s *remoteSite) layout(ctx context.Context) (magnoliashore.Layout, error) {
-	value, err := s.read(ctx, platform.LayoutKey(s.experiment.shape.Cell()))
+	value, err := s.read(ctx, configservice.LayoutKey(s.experiment.shape.Cell()))
 	if err != nil {
 		return magnoliashore.Layout{}, err
 	}
-	return platform.DecodeLayout(value.Version(), value.Data())
+	return configservice.DecodeLayout(value.Version(), value.Data())
 }
 
 func (s *remoteSite) table(ctx context.Context) ([]byte, error) {
-	value, err := s.read(ctx, platform.TableKey(s.experiment.shape.Cell()))
+	value, err := s.read(ctx, configservice.TableKey(s.experiment.shape.Cell()))
 	return value.Data(), err
 }
 
 func (s *remoteSite) read(ctx context.Context, key string) (magnoliashore.Value, error) {
-	reader := &platform.Client{Address: s.experiment.remote.platform, HTTP: &http.Client{Timeout: fleetTimeout}}
+	reader := &configservice.Client{Address: s.experiment.remote.platform, HTTP: &http.Client{Timeout: fleetTimeout}}
 	value, err := reader.Read(ctx, key)
 	return value, magnoliashore.Step(err, "read "+key, s.experiment.remote.platform)
 }
--- a/local/cell.go
+++ b/local/cell.go
@@ -17,7 +17,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/caller/client"
 	"github.com/magnoliashore/magnoliashore/entry"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/settings"
 	"github.com/magnoliashore/magnoliashore/standin"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -87,9 +87,9 @@
 		}
 		c.fleet.Targets = append(c.fleet.Targets, standin.NewTarget(config))
 	}
-	c.run("platform", func() error { return c.platform.Run(ctx) })
+	c.run("platform", func() error { return c.configservice.Run(ctx) })
 	c.run("targets", func() error { return c.fleet.Run(ctx) })
-	for _, ready := range []<-chan struct{}{c.platform.Ready(), c.fleet.Ready()} {
+	for _, ready := range []<-chan struct{}{c.configservice.Ready(), c.fleet.Ready()} {
 		select {
 		case <-ready:
 		case <-ctx.Done():
@@ -119,7 +119,7 @@
 	s.Cell = c.Shape.Cell()
 	s.Caller = Loopback
 	s.Peer = Loopback
-	s.Platform = c.platform.Addr()
+	s.Platform = c.configservice.Addr()
 	if c.Settings != nil {
 		c.Settings(&s)
 	}
@@ -129,7 +129,7 @@
 	}
 	host := &entry.Host{
 		Settings: s,
-		Platform: &platform.Client{Address: s.Platform, HTTP: &http.Client{}, Wait: s.Config.Watch},
+		Platform: &configservice.Client{Address: s.Platform, HTTP: &http.Client{}, Wait: s.Config.Watch},
 		Timer:    &c.clock,
 		Log:      logs,
 	}
@@ -153,12 +153,12 @@
 
 // publish publishes the table and the layout with the addresses in use.
 func (c *Cell) publish() error {
-	layout, err := platform.EncodeLayout(c.Layout())
+	layout, err := configservice.EncodeLayout(c.Layout())
 	if err != nil {
 		return err
 	}
-	c.platform.Publish(platform.TableKey(c.Shape.Cell()), c.Shape.Table())
-	c.platform.Publish(platform.LayoutKey(c.Shape.Cell()), layout)
+	c.configservice.Publish(configservice.TableKey(c.Shape.Cell()), c.Shape.Table())
+	c.configservice.Publish(configservice.LayoutKey(c.Shape.Cell()), layout)
 	return nil
 }
 
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -10,18 +10,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 )
 
 const key = "cells/ljubljana/table"
 
-func startPlatform(t *testing.T, p *standin.Platform) platform.Client {
+func startPlatform(t *testing.T, p *standin.Platform) configservice.Client {
 	t.Helper()
 	p.Admin = "127.0.0.1:0"
 	run(t, p.Run)
 	<-p.Ready()
-	return platform.Client{Address: p.Addr(), HTTP: newClient(t), Wait: time.Second}
+	return configservice.Client{Address: p.Addr(), HTTP: newClient(t), Wait: time.Second}
 }
 
 func TestPlatformModes(t *testing.T) {
@@ -39,8 +39,8 @@
 	}{
 		{standin.Stale, 2}, {standin.Old, 2}, {standin.Up, 3}, {standin.Down, 0}, {standin.Up, 3},
 	}
-	if _, err := client.Read(t.Context(), "cells/ljubljana/layout"); !errors.Is(err, platform.ErrAbsent) {
-		t.Errorf("a key published while stale: got %v, want %v", err, platform.ErrAbsent)
+	if _, err := client.Read(t.Context(), "cells/ljubljana/layout"); !errors.Is(err, configservice.ErrAbsent) {
+		t.Errorf("a key published while stale: got %v, want %v", err, configservice.ErrAbsent)
 	}
 	for _, test := range tests {
 		p.SetMode(test.mode)
@@ -123,7 +123,7 @@
 	if err != nil || version != 1 {
 		t.Errorf("got version %d, %v, want 1", version, err)
 	}
-	if _, err := admin.Publish(t.Context(), key, make([]byte, platform.MaxValue+1)); err == nil {
+	if _, err := admin.Publish(t.Context(), key, make([]byte, configservice.MaxValue+1)); err == nil {
 		t.Error("a value over 1 MiB: got no error, want one")
 	}
 	if err := admin.SetHosts(t.Context(), []string{"a", "b"}, []string{"c"}); err != nil {
--- a/standin/shape_test.go
+++ b/standin/shape_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/standin"
 )
 
@@ -75,7 +75,7 @@
 	t.Parallel()
 	for _, shape := range []standin.Shape{standin.Kovacic(1), standin.Peachtree(1)} {
 		layout := shapeLayout(shape)
-		if _, err := platform.EncodeLayout(layout); err != nil {
+		if _, err := configservice.EncodeLayout(layout); err != nil {
 			t.Fatal(err)
 		}
 		if got := len(layout.Snapshots()); got != 4 {
