--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,205 @@
+// Package balance decides which replica of a service gets a request, and
+// which service of a split route. It is pure: times and observations come in.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+)
+
+const (
+	gain       = 0.2                    // weight of the newest observation in a mean
+	forget     = 2 * time.Second        // half-life of an unused target's slowness
+	crossCost  = 4.0                    // how much slower the own zone's replica may be before another zone's is used
+	firstBan   = 150 * time.Millisecond // after a failure, doubled with each further one
+	longestBan = 3 * time.Second
+	pauseAfter = 4.0 // times the usual time that the oldest request is out
+	pauseCost  = 3.0 // how much slower a target counts that seems paused
+)
+
+// state is what is known of one target.
+type state struct {
+	slow     float64 // its times relative to the usual ones, 1 if as usual
+	seen     time.Time
+	out      map[uint64]time.Time // requests under way, by number
+	failures int                  // in a row
+	banned   time.Time            // until when it is not preferred
+}
+
+// Book keeps what this host has seen of targets. It is not safe for
+// concurrent use.
+type Book struct {
+	Zone magnoliashore.ZoneName // of this host
+
+	targets map[magnoliashore.TargetID]*state
+	usual   map[string]float64 // mean time of a kind of request, in seconds
+	number  uint64
+}
+
+// Ticket is a request under way.
+type Ticket struct {
+	target magnoliashore.TargetID
+	kind   string
+	number uint64
+}
+
+// Start notes that a request of a kind goes to a target.
+func (b *Book) Start(now time.Time, t *catalog.Target, kind string) Ticket {
+	s := b.state(t.ID())
+	b.number++
+	s.out[b.number] = now
+	return Ticket{target: t.ID(), kind: kind, number: b.number}
+}
+
+// Done notes that a request ended with an answer after took.
+func (b *Book) Done(now time.Time, ticket Ticket, took time.Duration) {
+	s := b.state(ticket.target)
+	delete(s.out, ticket.number)
+	s.failures = 0
+	s.banned = time.Time{}
+	usual := b.Usual(ticket.kind)
+	if usual <= 0 {
+		b.setUsual(ticket.kind, took.Seconds())
+		return
+	}
+	ratio := min(took.Seconds()/usual, 20)
+	s.slow = b.slowness(now, s)*(1-gain) + ratio*gain
+	s.seen = now
+	// Slow targets pull the usual time up less than they would as a mean.
+	b.setUsual(ticket.kind, usual+gain/10*(min(took.Seconds(), 3*usual)-usual))
+}
+
+// Failed notes that a request ended without a useful answer.
+func (b *Book) Failed(now time.Time, ticket Ticket) {
+	s := b.state(ticket.target)
+	delete(s.out, ticket.number)
+	ban := min(firstBan<<min(s.failures, 10), longestBan)
+	s.failures++
+	s.banned = now.Add(ban)
+}
+
+// Dropped notes that a request ended for a reason that says nothing of the
+// target, after it was out for took. A target that took longer than usual is
+// at least that slow.
+func (b *Book) Dropped(now time.Time, ticket Ticket, took time.Duration) {
+	s := b.state(ticket.target)
+	delete(s.out, ticket.number)
+	usual := b.Usual(ticket.kind)
+	if usual <= 0 || took.Seconds() < usual*b.slowness(now, s) {
+		return
+	}
+	s.slow = b.slowness(now, s)*(1-gain) + min(took.Seconds()/usual, 20)*gain
+	s.seen = now
+}
+
+// Usual returns the usual time of a kind of request, in seconds; zero if none
+// has been seen.
+func (b *Book) Usual(kind string) float64 { return b.usual[kind] }
+
+// Out returns how many requests are under way to a target.
+func (b *Book) Out(id magnoliashore.TargetID) int { return len(b.state(id).out) }
+
+// Banned reports whether a target failed a moment ago.
+func (b *Book) Banned(now time.Time, id magnoliashore.TargetID) bool {
+	return now.Before(b.state(id).banned)
+}
+
+// Choose returns the target with the lowest expected cost for a request of a
+// kind, leaving out those in not; nil if there is none. A target that failed a
+// moment ago is chosen only if all have.
+func (b *Book) Choose(now time.Time, targets []*catalog.Target, kind string, not []magnoliashore.TargetID) *catalog.Target {
+	var best *catalog.Target
+	lowest := math.Inf(1)
+	for _, t := range targets {
+		if contains(not, t.ID()) {
+			continue
+		}
+		cost := b.Cost(now, t, kind)
+		if t.Zone() != b.Zone {
+			cost *= crossCost
+		}
+		if cost < lowest {
+			best, lowest = t, cost
+		}
+	}
+	return best
+}
+
+// Cost returns the expected cost of a request of a kind at a target, relative
+// to an idle target of the usual speed. It leaves the way to the target out.
+func (b *Book) Cost(now time.Time, t *catalog.Target, kind string) float64 {
+	s := b.state(t.ID())
+	cost := b.slowness(now, s) * float64(len(s.out)+1)
+	if b.paused(now, s, kind) {
+		cost *= pauseCost
+	}
+	if now.Before(s.banned) {
+		cost += 1e6 * s.banned.Sub(now).Seconds()
+	}
+	return cost
+}
+
+// paused reports whether the oldest request is out for much longer than
+// usual, so that the target probably stands still.
+func (b *Book) paused(now time.Time, s *state, kind string) bool {
+	usual := b.Usual(kind) * b.slowness(now, s)
+	if usual <= 0 {
+		return false
+	}
+	for _, since := range s.out {
+		if now.Sub(since).Seconds() > pauseAfter*usual {
+			return true
+		}
+	}
+	return false
+}
+
+// slowness returns the slowness of a target, which fades when it is not used.
+func (b *Book) slowness(now time.Time, s *state) float64 {
+	if s.slow == 0 {
+		return 1
+	}
+	idle := now.Sub(s.seen)
+	return 1 + (s.slow-1)*math.Exp2(-idle.Seconds()/forget.Seconds())
+}
+
+func (b *Book) state(id magnoliashore.TargetID) *state {
+	if b.targets == nil {
+		b.targets = make(map[magnoliashore.TargetID]*state)
+	}
+	s, ok := b.targets[id]
+	if !ok {
+		s = &state{out: make(map[uint64]time.Time)}
+		b.targets[id] = s
+	}
+	return s
+}
+
+// Retain forgets targets that are not known any more and have nothing under
+// way.
+func (b *Book) Retain(known func(id magnoliashore.TargetID) bool) {
+	for id, s := range b.targets {
+		if !known(id) && len(s.out) == 0 {
+			delete(b.targets, id)
+		}
+	}
+}
+
+func (b *Book) setUsual(kind string, seconds float64) {
+	if b.usual == nil {
+		b.usual = make(map[string]float64)
+	}
+	b.usual[kind] = seconds
+}
+
+func contains(ids []magnoliashore.TargetID, id magnoliashore.TargetID) bool {
+	for _, i := range ids {
+		if i == id {
+			return true
+		}
+	}
+	return false
+}
--- a/catalog/target.go
+++ b/catalog/target.go
@@ -56,12 +56,18 @@
 type View struct {
 	config  *Config
 	targets map[magnoliashore.ServiceName][]*Target
+	ids     map[magnoliashore.TargetID]bool
 }
 
 // NewView returns a view of config, which may be nil, and of targets.
 func NewView(config *Config, targets []*Target) *View {
-	v := &View{config: config, targets: make(map[magnoliashore.ServiceName][]*Target)}
+	v := &View{
+		config:  config,
+		targets: make(map[magnoliashore.ServiceName][]*Target),
+		ids:     make(map[magnoliashore.TargetID]bool, len(targets)),
+	}
 	for _, t := range targets {
+		v.ids[t.ID()] = true
 		v.targets[t.Service()] = append(v.targets[t.Service()], t)
 	}
 	return v
@@ -72,3 +78,6 @@
 
 // Targets returns the targets of a service that may get work.
 func (v *View) Targets(service magnoliashore.ServiceName) []*Target { return v.targets[service] }
+
+// Has reports whether a target may get work.
+func (v *View) Has(id magnoliashore.TargetID) bool { return v.ids[id] }
--- /dev/null
+++ b/cmd/gateway.go
@@ -0,0 +1,74 @@
+package cmd
+
+import (
+	"context"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/gateway"
+	"github.com/magnoliashore/magnoliashore/platform"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+type gatewayCmd struct {
+	cmd  *cobra.Command
+	opts gatewayOptions
+}
+
+type gatewayOptions struct {
+	settings string
+	level    string
+}
+
+func newGatewayCmd() *gatewayCmd {
+	c := &gatewayCmd{}
+	c.cmd = &cobra.Command{
+		Use:   "gateway",
+		Short: "Runs one host on the users' platform until SIGTERM, then stops it gracefully",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.run(cmd.Context())
+		},
+	}
+	c.cmd.Flags().StringVar(&c.opts.settings, "settings", os.Getenv(platform.SettingsVariable),
+		"settings file of the platform")
+	c.cmd.Flags().StringVar(&c.opts.level, "log", "info", "least level of the log lines")
+	return c
+}
+
+func (c *gatewayCmd) run(ctx context.Context) error {
+	s, err := loadPlatformSettings(c.opts.settings)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(c.opts.level)
+	if err != nil {
+		return errors.Wrapf(err, "reading the log level %q", c.opts.level)
+	}
+	host := &gateway.Host{
+		Settings:  s,
+		Dialect:   platform.Dialect{},
+		Source:    platform.NewStore(s.Store),
+		Decoder:   platform.Decoder{},
+		Timer:     &timer.Service{},
+		Log:       (&log.Logger{Handler: logfmt.New(os.Stdout), Level: level}).WithField("host", string(s.Host)),
+		Directory: platform.Directory,
+		Ready:     platform.Ready,
+	}
+	return host.Run(ctx)
+}
+
+// loadPlatformSettings reads and checks the platform's settings file.
+func loadPlatformSettings(path string) (gateway.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return gateway.Settings{}, magnoliashore.Step(err, "read settings", path)
+	}
+	s, err := platform.DecodeSettings(data)
+	return s, magnoliashore.Step(err, "read settings", path)
+}
--- /dev/null
+++ b/gateway/batch.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/scatter"
+)
+
+// Batch answers a batch of another host: once when it is to be sent back, and
+// after that as parts come in, until every shard has an outcome.
+func (e *Engine) Batch(ctx context.Context, ask relay.Ask, reply func(relay.Bundle)) {
+	now := e.Timer.Now()
+	q := &query{
+		request: origin.Request{
+			Method: ask.Method, URI: ask.URI, Host: ask.Host, Header: ask.Header, Body: ask.Body,
+			ID: ask.ID, Rank: ask.Rank,
+		},
+		kind: ask.Kind, services: ask.Shards, deadline: now.Add(ask.Patience), best: ask.Best, scatters: true,
+		terms: scatter.Terms{
+			Shards: len(ask.Shards), Needed: 1, Attempts: ask.Attempts, Hedge: ask.Hedge, Timeout: ask.Patience,
+		},
+	}
+	r, cancel := e.start(ctx, q)
+	r.report = now.Add(ask.Settle)
+	for {
+		verdict, ok := r.wait(ctx)
+		if !ok {
+			r.end(cancel, true)
+			return
+		}
+		bundle := r.bundle()
+		bundle.Last = verdict != scatter.Wait
+		reply(bundle)
+		if bundle.Last {
+			r.end(cancel, false)
+			return
+		}
+	}
+}
+
+// bundle merges the pieces that were not reported yet.
+func (r *run) bundle() relay.Bundle {
+	var b relay.Bundle
+	var parts [][]byte
+	for _, p := range r.pieces[len(r.pieces)-r.fresh:] {
+		b.Shards = append(b.Shards, p.shards...)
+		b.Proofs = append(b.Proofs, p.proofs...)
+		parts = append(parts, p.records)
+	}
+	r.fresh = 0
+	b.Records = scatter.Best(r.query.best, parts)
+	b.Ran = r.race.Ran()
+	return b
+}
--- /dev/null
+++ b/gateway/engine.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+const (
+	connectionShare = 0.9 // of a target's connections that the hosts use together
+	defaultCap      = 8   // connections to a target whose service states no limit
+	queuePerConn    = 4   // requests that wait for each connection
+)
+
+// Hosts are the other hosts that a batch can be sent to.
+type Hosts interface {
+	// Pick returns the link to a host in a zone, and false if there is none.
+	Pick(zone magnoliashore.ZoneName) (*relay.Link, bool)
+	// Zones returns the zones for which Pick finds a host.
+	Zones() map[magnoliashore.ZoneName]bool
+	// Count returns how many hosts run, this one included.
+	Count() int
+}
+
+// Engine runs queries. Set the exported fields before the first one.
+type Engine struct {
+	Zone    magnoliashore.ZoneName
+	View    func() *catalog.View
+	Hosts   Hosts
+	Pool    *origin.Pool
+	Timer   *timer.Service
+	Log     log.Interface
+	Metrics *Metrics
+
+	mu     sync.Mutex // guards the decisions below
+	Book   *balance.Book
+	Budget *retry.Budget
+}
+
+// attempt is one send to a target.
+type attempt struct {
+	target *catalog.Target
+	ticket balance.Ticket
+}
+
+// pick chooses the target of an attempt at a service and notes that it is
+// sent. extra says that the service got the request before; it then needs the
+// retry budget. It returns false if there is no target or no budget.
+func (e *Engine) pick(q *query, service magnoliashore.ServiceName, not []magnoliashore.TargetID, extra bool) (attempt, bool) {
+	targets := e.View().Targets(service)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
+	t := e.Book.Choose(now, targets, q.kind, not)
+	if t == nil {
+		return attempt{}, false
+	}
+	e.Budget.Hosts = e.Hosts.Count()
+	if extra && !e.Budget.Take(now, service) {
+		e.Metrics.overBudget.Inc()
+		return attempt{}, false
+	}
+	if !extra {
+		e.Budget.Request(now, service)
+	}
+	return attempt{target: t, ticket: e.Book.Start(now, t, q.kind)}, true
+}
+
+// send makes an attempt and notes what it tells of the target.
+func (e *Engine) send(ctx context.Context, q *query, a attempt) origin.Result {
+	limit := e.connections(a.target)
+	result := e.Pool.Do(ctx, q.request, origin.Send{
+		Target: a.target, Patience: q.deadline.Sub(e.Timer.Now()), Connections: limit, Queue: limit * queuePerConn,
+	})
+	e.Metrics.sends.Inc()
+	if result.Opened {
+		e.Metrics.connects.Inc()
+	}
+	e.observe(ctx, a, result)
+	return result
+}
+
+func (e *Engine) observe(ctx context.Context, a attempt, result origin.Result) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
+	switch {
+	case result.Status != 0 && result.Status < 500 && !result.Reply.NotRun:
+		e.Book.Done(now, a.ticket, result.Took)
+	case result.Status == 0 && ctx.Err() != nil, errors.Is(result.Err, origin.ErrRoom):
+		e.Book.Dropped(now, a.ticket, result.Took)
+	default:
+		e.Book.Failed(now, a.ticket)
+	}
+}
+
+// connections returns this host's share of the connections to a target.
+func (e *Engine) connections(t *catalog.Target) int {
+	config := e.View().Config()
+	if config == nil {
+		return 1
+	}
+	limit := config.Service(t.Service()).Connections()
+	if limit == 0 {
+		return defaultCap
+	}
+	return max(1, int(connectionShare*float64(limit)/float64(max(e.Hosts.Count(), 1))))
+}
+
+// until returns the time from now to at, never below zero.
+func (e *Engine) until(at time.Time) time.Duration { return max(0, at.Sub(e.Timer.Now())) }
+
+// Retain forgets the targets that are not in the view.
+func (e *Engine) Retain(view *catalog.View) {
+	e.Pool.Retain(view.Has)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Book.Retain(view.Has)
+}
--- /dev/null
+++ b/gateway/front.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+)
+
+const (
+	defaultHeaderTimeout = 5 * time.Second // while no configuration states limits
+	defaultIdleTimeout   = 30 * time.Second
+	defaultHeaderBytes   = 16 << 10
+)
+
+// front accepts the connections of callers. Limits of a new configuration
+// hold for new connections.
+type front struct {
+	handler http.Handler
+
+	mu      sync.Mutex
+	limits  catalog.Limits
+	current *handover
+	servers []*http.Server
+	stopped bool
+}
+
+// handover is a listener that gets its connections from another one.
+type handover struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+	addr  net.Addr
+}
+
+// Accept returns the next connection.
+func (l *handover) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept.
+func (l *handover) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr returns the address that the connections were accepted at.
+func (l *handover) Addr() net.Addr { return l.addr }
+
+// run accepts connections until the listener is closed.
+func (f *front) run(listener net.Listener) error {
+	f.mu.Lock()
+	f.serve(listener.Addr())
+	f.mu.Unlock()
+	for {
+		c, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return magnoliashore.Step(err, "accept callers", listener.Addr().String())
+		}
+		f.mu.Lock()
+		current := f.current
+		f.mu.Unlock()
+		select {
+		case current.conns <- c:
+		case <-current.done:
+			_ = c.Close()
+		}
+	}
+}
+
+// hold puts limits in force for new connections.
+func (f *front) hold(limits catalog.Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if limits == f.limits {
+		return
+	}
+	f.limits = limits
+	if f.current != nil && !f.stopped {
+		f.serve(f.current.addr)
+	}
+}
+
+// serve starts a server with the current limits. The caller holds mu.
+func (f *front) serve(addr net.Addr) {
+	server := &http.Server{
+		Handler:           f.handler,
+		ReadHeaderTimeout: orElse(f.limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       orElse(f.limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    orElse(f.limits.HeaderBytes, defaultHeaderBytes),
+	}
+	listener := &handover{conns: make(chan net.Conn), done: make(chan struct{}), addr: addr}
+	f.current = listener
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }() // ends with ErrServerClosed
+}
+
+func orElse[T comparable](value, other T) T {
+	var zero T
+	if value == zero {
+		return other
+	}
+	return value
+}
+
+// shutdown lets the requests in flight finish until ctx ends.
+func (f *front) shutdown(ctx context.Context) error {
+	f.mu.Lock()
+	f.stopped = true
+	servers := f.servers
+	f.mu.Unlock()
+	var err error
+	for _, s := range servers {
+		if e := s.Shutdown(ctx); e != nil {
+			err = errors.CombineErrors(err, errors.CombineErrors(e, s.Close()))
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/gateway/host.go
@@ -0,0 +1,225 @@
+// Package gateway wires the parts of one host that serves callers in front of
+// targets: requests at one service, and queries over many shards.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/membership"
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/registry"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+const (
+	maxAnswer     = 16 << 20                // bytes of a target's answer
+	stopMargin    = 700 * time.Millisecond  // before the end of the grace, for the last answers
+	refuseAfter   = 2500 * time.Millisecond // into a stop: requests are to be sent to other hosts by then
+	directoryTime = 2 * time.Second         // for which callers keep addresses
+	lapseShare    = 0.7                     // of the drain time that a target is kept without its entry
+	longestLapse  = 2200 * time.Millisecond // outlasts the return of entries after an outage of the store
+)
+
+// Host is one host. Set the exported fields before Run.
+type Host struct {
+	Settings Settings
+	Dialect  magnoliashore.Dialect
+	Source   registry.Source
+	Decoder  registry.Decoder
+	Timer    *timer.Service
+	Log      log.Interface
+	// Directory and Ready return the handlers that callers and the platform
+	// use to find this host.
+	Directory func(addresses func(zone magnoliashore.ZoneName) ([]string, time.Duration)) http.Handler
+	Ready     func(ready func() bool) http.Handler
+
+	metrics *Metrics
+	reader  *registry.Reader
+	members *membership.Node
+	hosts   *hosts
+	engine  *Engine
+	front   *front
+	stopAt  atomic.Int64 // when the stop began, in nanoseconds since began; zero if it has not
+	began   time.Time
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	h.prepare()
+	listeners, err := h.listen(ctx)
+	if err != nil {
+		return err
+	}
+	h.Log.WithFields(log.Fields{
+		"zone": string(h.Settings.Zone), "caller": h.Settings.Caller, "peer": h.Settings.Peer, "store": h.Settings.Store,
+	}).Info("started")
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return h.reader.Run(work) })
+	group.Go(func() error { return h.members.Run(work) })
+	group.Go(func() error { return h.front.run(listeners[0]) })
+	for i, handler := range h.handlers() {
+		group.Go(func() error { return serve(work, listeners[i+1], handler) })
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			_ = listeners[0].Close()
+			return nil
+		}
+		h.leave()
+		_ = listeners[0].Close()
+		stop()
+		return nil
+	})
+	err = group.Wait()
+	h.Log.Info("stopped")
+	return err
+}
+
+// prepare builds the parts.
+func (h *Host) prepare() {
+	s := h.Settings
+	h.began = h.Timer.Now()
+	h.metrics = NewMetrics()
+	self := membership.MemberSpec{
+		Host: s.Host, Zone: s.Zone, Peer: s.Peer, Caller: s.Caller,
+		Incarnation: magnoliashore.Incarnation(h.began.UnixMilli()),
+	}
+	h.hosts = &hosts{
+		self: membership.NewMember(self), timer: h.Timer, log: h.Log,
+		links: make(map[string]*relay.Link), seen: make(map[string]time.Time),
+	}
+	h.hosts.update([]membership.Member{membership.NewMember(self)})
+	h.members = &membership.Node{
+		Core: &membership.Core{
+			Self: self, Seeds: s.Seeds, Config: membership.Times(),
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+		Timer: h.Timer, Log: h.Log, OnChange: h.hosts.update,
+	}
+	lapse := min(time.Duration(lapseShare*float64(s.Drain)), longestLapse)
+	h.reader = &registry.Reader{
+		Book:   &registry.Book{Decoder: h.Decoder, Lapse: lapse},
+		Source: h.Source, Timer: h.Timer, Log: h.Log, OnChange: h.applied,
+	}
+	h.engine = &Engine{
+		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.metrics,
+		Pool:   &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswer},
+		Book:   &balance.Book{Zone: s.Zone},
+		Budget: &retry.Budget{Limit: s.Retries},
+	}
+	h.front = &front{handler: &Handler{
+		Engine: h.engine, Dialect: h.Dialect, Dealer: &balance.Dealer{}, Log: h.Log,
+		Leaving: func() bool { return h.stopping() > 0 },
+		Refuse:  func() bool { return h.stopping() > refuseAfter },
+	}}
+}
+
+// applied takes a new view of the configuration and the targets.
+func (h *Host) applied(view *catalog.View) {
+	if config := view.Config(); config != nil {
+		h.front.hold(config.Limits())
+	}
+	h.engine.Retain(view)
+}
+
+// listen opens the addresses: of callers, other hosts, readiness checks, the
+// directory, and metrics.
+func (h *Host) listen(ctx context.Context) ([]net.Listener, error) {
+	if err := h.members.Listen(); err != nil {
+		return nil, err
+	}
+	s := h.Settings
+	addresses := []string{s.Caller, s.Peer, s.Ready, s.Directory}
+	if s.Metrics != "" {
+		addresses = append(addresses, s.Metrics)
+	}
+	var listeners []net.Listener
+	var config net.ListenConfig
+	for _, address := range addresses {
+		l, err := config.Listen(ctx, "tcp4", address)
+		if err != nil {
+			return nil, magnoliashore.Step(err, "listen", address)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// handlers returns what is served at the addresses after the callers' one.
+func (h *Host) handlers() []http.Handler {
+	peers := http.NewServeMux()
+	peers.Handle(relay.Path, &relay.Server{Handle: h.engine.Batch, Timer: h.Timer, Log: h.Log})
+	handlers := []http.Handler{peers, h.Ready(h.ready), h.Directory(h.addresses)}
+	if h.Settings.Metrics != "" {
+		handlers = append(handlers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { h.metrics.Write(w) }))
+	}
+	return handlers
+}
+
+// ready reports whether callers may be sent here.
+func (h *Host) ready() bool { return h.stopping() == 0 && h.reader.View().Config() != nil }
+
+// addresses returns where callers of a zone are to connect, and for how long
+// they may keep that.
+func (h *Host) addresses(zone magnoliashore.ZoneName) ([]string, time.Duration) {
+	return callerAddresses(h.members.Members(), zone), min(directoryTime, h.Settings.Refresh)
+}
+
+// stopping returns for how long this host has been stopping; zero if it is
+// not.
+func (h *Host) stopping() time.Duration {
+	at := h.stopAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(h.Timer.Now().Sub(h.began)-time.Duration(at), 1)
+}
+
+// leave has callers sent elsewhere and lets the requests in flight finish.
+func (h *Host) leave() {
+	h.stopAt.Store(int64(h.Timer.Now().Sub(h.began)))
+	h.members.Leave()
+	h.Log.WithField("grace", h.Settings.Grace.String()).Info("stopping")
+	idle := h.Timer.After(h.Settings.Grace - 2*stopMargin)
+	<-idle.C
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+	defer cancel()
+	if err := h.front.shutdown(ctx); err != nil {
+		h.Log.WithError(err).Warn("requests were still in flight at the end of the grace")
+	}
+}
+
+// serve serves handler until ctx ends.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return magnoliashore.Step(err, "serve", listener.Addr().String())
+	case <-ctx.Done():
+	}
+	err := server.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return magnoliashore.Step(err, "close", listener.Addr().String())
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metrics counts what a host does.
+type Metrics struct {
+	set        *metrics.Set
+	answers    *metrics.Histogram // seconds until an answer of a target or its parts
+	whole      *metrics.Counter
+	partial    *metrics.Counter
+	refused    *metrics.Counter
+	failed     *metrics.Counter
+	expired    *metrics.Counter
+	abandoned  *metrics.Counter
+	unrouted   *metrics.Counter
+	sends      *metrics.Counter
+	extra      *metrics.Counter
+	overBudget *metrics.Counter
+	connects   *metrics.Counter
+	batches    *metrics.Counter
+	logDropped *metrics.Counter
+}
+
+// NewMetrics returns metrics that all stand at zero.
+func NewMetrics() *Metrics {
+	s := metrics.NewSet()
+	result := func(name string) *metrics.Counter {
+		return s.NewCounter(`magnoliashore_gateway_requests_total{result="` + name + `"}`)
+	}
+	return &Metrics{
+		set:        s,
+		answers:    s.NewHistogram("magnoliashore_gateway_answer_seconds"),
+		whole:      result("whole"),
+		partial:    result("partial"),
+		refused:    result("refused"),
+		failed:     result("failed"),
+		expired:    result("expired"),
+		abandoned:  result("abandoned"),
+		unrouted:   result("unrouted"),
+		sends:      s.NewCounter("magnoliashore_gateway_sends_total"),
+		extra:      s.NewCounter("magnoliashore_gateway_extra_sends_total"),
+		overBudget: s.NewCounter("magnoliashore_gateway_over_budget_total"),
+		connects:   s.NewCounter("magnoliashore_gateway_connections_total"),
+		batches:    s.NewCounter("magnoliashore_gateway_batches_total"),
+		logDropped: s.NewCounter("magnoliashore_gateway_log_lines_dropped_total"),
+	}
+}
+
+// Write writes the metrics in the text format of Prometheus.
+func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/retry"
+)
+
+// Settings of one host.
+type Settings struct {
+	Host      magnoliashore.HostID
+	Zone      magnoliashore.ZoneName
+	Caller    string // ip:port for requests
+	Ready     string // ip:port for readiness checks
+	Directory string // ip:port for callers that ask where to connect
+	Peer      string // ip:port for other hosts, over TCP and UDP
+	Metrics   string // ip:port for metrics; empty for none
+	Seeds     []string
+	Store     string        // ip:port of the store
+	Grace     time.Duration // from SIGTERM to the end of the process
+	Drain     time.Duration // for which a leaving target still takes requests
+	Refresh   time.Duration // longest time that callers may keep addresses
+	Retries   retry.Limit
+}
+
+// Check returns what is wrong with the settings, nil if nothing.
+func (s Settings) Check() error {
+	var err error
+	if s.Host == "" {
+		err = errors.CombineErrors(err, errors.New("the host has no name"))
+	}
+	addresses := []struct{ name, value string }{
+		{"caller", s.Caller}, {"ready", s.Ready}, {"directory", s.Directory}, {"peer", s.Peer}, {"store", s.Store},
+	}
+	for _, a := range addresses {
+		if _, _, e := net.SplitHostPort(a.value); e != nil {
+			err = errors.CombineErrors(err, errors.Wrapf(e, "the %s address %q", a.name, a.value))
+		}
+	}
+	if s.Grace <= 0 {
+		err = errors.CombineErrors(err, errors.Newf("the time to stop is %s; it must be above zero", s.Grace))
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
+		err = errors.CombineErrors(err, errors.New("the retry limit must not be negative"))
+	}
+	return err
+}
--- a/local/cell.go
+++ b/local/cell.go
@@ -87,9 +87,9 @@
 		}
 		c.fleet.Targets = append(c.fleet.Targets, standin.NewTarget(config))
 	}
-	c.run("platform", func() error { return c.configservice.Run(ctx) })
+	c.run("platform", func() error { return c.platform.Run(ctx) })
 	c.run("targets", func() error { return c.fleet.Run(ctx) })
-	for _, ready := range []<-chan struct{}{c.configservice.Ready(), c.fleet.Ready()} {
+	for _, ready := range []<-chan struct{}{c.platform.Ready(), c.fleet.Ready()} {
 		select {
 		case <-ready:
 		case <-ctx.Done():
@@ -119,7 +119,7 @@
 	s.Cell = c.Shape.Cell()
 	s.Caller = Loopback
 	s.Peer = Loopback
-	s.Platform = c.configservice.Addr()
+	s.Platform = c.platform.Addr()
 	if c.Settings != nil {
 		c.Settings(&s)
 	}
@@ -157,8 +157,8 @@
 	if err != nil {
 		return err
 	}
-	c.configservice.Publish(configservice.TableKey(c.Shape.Cell()), c.Shape.Table())
-	c.configservice.Publish(configservice.LayoutKey(c.Shape.Cell()), layout)
+	c.platform.Publish(configservice.TableKey(c.Shape.Cell()), c.Shape.Table())
+	c.platform.Publish(configservice.LayoutKey(c.Shape.Cell()), layout)
 	return nil
 }
 
--- /dev/null
+++ b/membership/core.go
@@ -0,0 +1,400 @@
+package membership
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+const (
+	helpers     = 2  // hosts asked to probe one that did not answer
+	newsRoom    = 8  // members in one datagram; keeps it below 1,200 bytes
+	spread      = 3  // times log2 of the hosts that a piece of news is sent
+	freezeTicks = 4  // ticks missed in a row that mean this process was suspended
+	joinEvery   = 5  // ticks between two messages to a seed or a lost host
+	farewells   = 16 // hosts told directly that this one leaves
+)
+
+// Config holds the times of a Core.
+type Config struct {
+	Period  time.Duration // between two probes
+	Timeout time.Duration // for the answer to a probe
+	Suspect time.Duration // from suspicion to death
+	Forget  time.Duration // from death until the host is no longer tried
+}
+
+// peer is a member with what the core keeps beside it.
+type peer struct {
+	member Member
+	since  time.Time // of its state
+}
+
+// news is a change that is still being passed on.
+type news struct {
+	peer string
+	left int // datagrams
+}
+
+// probe is an unanswered ping.
+type probe struct {
+	number uint64
+	peer   string
+	sent   time.Time
+	helped bool
+	asker  string // the host on whose behalf it was sent; empty if our own
+	theirs uint64 // the asker's number
+}
+
+// Core decides who is a member. It reads no clock and sends nothing. It is
+// not safe for concurrent use.
+type Core struct {
+	Self   MemberSpec // Incarnation is raised when others know of a later one
+	Seeds  []string   // ip:port of hosts to join by
+	Config Config
+	Random *rand.Rand
+
+	peers  map[string]*peer
+	queue  []news
+	order  []string // peers still to be probed in this round
+	probes []probe
+	number uint64
+	ticks  int
+	last   time.Time
+}
+
+// Members returns all members that are believed to run, this one first.
+func (c *Core) Members() []Member {
+	members := make([]Member, 0, len(c.peers)+1)
+	members = append(members, NewMember(c.Self))
+	for _, p := range c.peers {
+		if p.member.Runs() {
+			members = append(members, p.member)
+		}
+	}
+	slices.SortFunc(members[1:], func(a, b Member) int {
+		if a.Peer() < b.Peer() {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// Leave tells others that callers are not to be sent here any more.
+func (c *Core) Leave() []Packet {
+	c.Self.State = Leaving
+	c.publish(c.Self.Peer)
+	var out []Packet
+	for _, p := range c.peers {
+		if p.member.Runs() && len(out) < farewells {
+			out = append(out, c.ping(p.member.Peer()))
+		}
+	}
+	return out
+}
+
+// Tick advances the core; it is to be called once a Period.
+func (c *Core) Tick(now time.Time) []Packet {
+	c.prepare()
+	c.thaw(now)
+	c.ticks++
+	out := c.overdue(now)
+	c.age(now)
+	if next := c.next(); next != "" {
+		p := c.ping(next)
+		c.probes = append(c.probes, probe{number: p.Message.Number, peer: next, sent: now})
+		out = append(out, p)
+	}
+	if c.ticks%joinEvery == 1 {
+		out = append(out, c.rejoin()...)
+	}
+	return out
+}
+
+func (c *Core) prepare() {
+	if c.peers == nil {
+		c.peers = make(map[string]*peer)
+	}
+}
+
+// thaw gives others the time that this process did not run.
+func (c *Core) thaw(now time.Time) {
+	gap := now.Sub(c.last)
+	if !c.last.IsZero() && gap > freezeTicks*c.Config.Period {
+		c.probes = nil
+		for _, p := range c.peers {
+			p.since = p.since.Add(gap)
+		}
+	}
+	c.last = now
+}
+
+// overdue asks others to probe hosts that did not answer, and suspects those
+// that did not answer them either.
+func (c *Core) overdue(now time.Time) []Packet {
+	var out []Packet
+	c.probes = slices.DeleteFunc(c.probes, func(p probe) bool {
+		return now.Sub(p.sent) > 2*c.Config.Timeout+c.Config.Period
+	})
+	for i := range c.probes {
+		p := &c.probes[i]
+		late := now.Sub(p.sent)
+		if p.asker != "" || late < c.Config.Timeout {
+			continue
+		}
+		if !p.helped {
+			p.helped = true
+			out = append(out, c.askOthers(p)...)
+		}
+		if late >= 2*c.Config.Timeout {
+			c.suspect(now, p.peer)
+		}
+	}
+	return out
+}
+
+func (c *Core) askOthers(p *probe) []Packet {
+	var out []Packet
+	for _, peer := range c.shuffled() {
+		if peer == p.peer || len(out) == helpers {
+			continue
+		}
+		out = append(out, Packet{To: peer, Message: Message{
+			Kind: Probe, Number: p.number, From: NewMember(c.Self), Target: p.peer, News: c.news(),
+		}})
+	}
+	return out
+}
+
+func (c *Core) suspect(now time.Time, address string) {
+	p, ok := c.peers[address]
+	if ok && p.member.State() == Alive {
+		c.set(now, p.member.with(Suspect))
+	}
+	if ok && p.member.State() == Leaving {
+		c.set(now, p.member.with(Dead))
+	}
+}
+
+// age turns suspects into dead ones and forgets those dead for long.
+func (c *Core) age(now time.Time) {
+	for address, p := range c.peers {
+		switch {
+		case p.member.State() == Suspect && now.Sub(p.since) >= c.Config.Suspect:
+			c.set(now, p.member.with(Dead))
+		case p.member.State() == Dead && now.Sub(p.since) >= c.Config.Forget:
+			delete(c.peers, address)
+		}
+	}
+}
+
+// next returns the next host to probe; empty if there is none.
+func (c *Core) next() string {
+	for range 2 {
+		for len(c.order) > 0 {
+			address := c.order[0]
+			c.order = c.order[1:]
+			if p, ok := c.peers[address]; ok && p.member.Runs() {
+				return address
+			}
+		}
+		c.order = c.shuffled()
+	}
+	return ""
+}
+
+// shuffled returns the running hosts in random order.
+func (c *Core) shuffled() []string {
+	var addresses []string
+	for address, p := range c.peers {
+		if p.member.Runs() {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	c.Random.Shuffle(len(addresses), func(i, j int) {
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	})
+	return addresses
+}
+
+// rejoin greets a seed that is not known to run, and a host that was lost, so
+// that the two sides of a healed cut find each other.
+func (c *Core) rejoin() []Packet {
+	var out []Packet
+	var lost []string
+	for address, p := range c.peers {
+		if !p.member.Runs() {
+			lost = append(lost, address)
+		}
+	}
+	if len(lost) > 0 {
+		slices.Sort(lost)
+		out = append(out, c.join(lost[c.Random.IntN(len(lost))]))
+	}
+	for _, seed := range c.Seeds {
+		if p, ok := c.peers[seed]; seed != c.Self.Peer && (!ok || !p.member.Runs()) {
+			out = append(out, c.join(seed))
+		}
+	}
+	return out
+}
+
+func (c *Core) join(to string) Packet {
+	p := c.ping(to)
+	p.Message.Kind = Join
+	return p
+}
+
+func (c *Core) ping(to string) Packet {
+	c.number++
+	return Packet{To: to, Message: Message{
+		Kind: Ping, Number: c.number, From: NewMember(c.Self), News: c.newsFor(to),
+	}}
+}
+
+// newsFor returns the members to send to a host. One that is suspected or
+// held for dead hears of it, so that it can refute.
+func (c *Core) newsFor(to string) []Member {
+	out := c.news()
+	if p, ok := c.peers[to]; ok && p.member.State() != Alive {
+		out = append(out, p.member)
+	}
+	return out
+}
+
+// Receive takes a message.
+func (c *Core) Receive(now time.Time, m Message) []Packet {
+	c.prepare()
+	c.learn(now, m.From)
+	for _, member := range m.News {
+		c.learn(now, member)
+	}
+	switch m.Kind {
+	case Ping:
+		return []Packet{c.ack(m.From.Peer(), m.Number)}
+	case Join:
+		return c.welcome(m)
+	case Ack:
+		return c.acked(m)
+	case Probe:
+		p := c.ping(m.Target)
+		c.probes = append(c.probes, probe{
+			number: p.Message.Number, peer: m.Target, sent: now, asker: m.From.Peer(), theirs: m.Number,
+		})
+		return []Packet{p}
+	}
+	return nil
+}
+
+func (c *Core) ack(to string, number uint64) Packet {
+	return Packet{To: to, Message: Message{
+		Kind: Ack, Number: number, From: NewMember(c.Self), News: c.newsFor(to),
+	}}
+}
+
+// welcome answers a Join with all members, in as many datagrams as it takes.
+func (c *Core) welcome(m Message) []Packet {
+	out := []Packet{c.ack(m.From.Peer(), m.Number)}
+	all := make([]Member, 0, len(c.peers))
+	for _, p := range c.peers {
+		all = append(all, p.member)
+	}
+	for part := range slices.Chunk(all, newsRoom) {
+		out = append(out, Packet{To: m.From.Peer(), Message: Message{
+			Kind: Ack, From: NewMember(c.Self), News: part,
+		}})
+	}
+	return out
+}
+
+// acked ends the probe that an Ack answers, and passes the Ack on if the
+// probe was another host's.
+func (c *Core) acked(m Message) []Packet {
+	i := slices.IndexFunc(c.probes, func(p probe) bool { return p.number == m.Number })
+	if i < 0 || m.Number == 0 {
+		return nil
+	}
+	p := c.probes[i]
+	c.probes = slices.Delete(c.probes, i, i+1)
+	if p.asker == "" {
+		return nil
+	}
+	return []Packet{c.ack(p.asker, p.theirs)}
+}
+
+// learn takes a belief of another host.
+func (c *Core) learn(now time.Time, m Member) {
+	if m.Peer() == "" {
+		return
+	}
+	if m.Peer() == c.Self.Peer {
+		c.refute(m)
+		return
+	}
+	p, ok := c.peers[m.Peer()]
+	if !ok && !m.Runs() {
+		return
+	}
+	if ok && !m.overrides(p.member) {
+		return
+	}
+	c.set(now, m)
+}
+
+// refute overrides a wrong belief about this host: that of a former process
+// at this address, or that this one does not run.
+func (c *Core) refute(m Member) {
+	same := m.Incarnation() == c.Self.Incarnation && m.State() <= c.Self.State
+	if m.Incarnation() < c.Self.Incarnation || same {
+		return
+	}
+	c.Self.Incarnation = m.Incarnation() + 1
+	c.publish(c.Self.Peer)
+}
+
+func (c *Core) set(now time.Time, m Member) {
+	c.peers[m.Peer()] = &peer{member: m, since: now}
+	c.publish(m.Peer())
+}
+
+// publish has a change passed on.
+func (c *Core) publish(address string) {
+	c.queue = slices.DeleteFunc(c.queue, func(n news) bool { return n.peer == address })
+	c.queue = append(c.queue, news{peer: address, left: spread * bits.Len(uint(len(c.peers)+1))})
+}
+
+// news returns the members to send along: the changes that were sent least,
+// then one member at random, so that a lost datagram is made up for.
+func (c *Core) news() []Member {
+	slices.SortStableFunc(c.queue, func(a, b news) int { return b.left - a.left })
+	var out []Member
+	for i := range min(len(c.queue), newsRoom-1) {
+		c.queue[i].left--
+		if m, ok := c.member(c.queue[i].peer); ok {
+			out = append(out, m)
+		}
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(n news) bool { return n.left <= 0 })
+	if all := c.shuffled(); len(all) > 0 {
+		out = append(out, c.peers[all[0]].member)
+	}
+	return out
+}
+
+func (c *Core) member(address string) (Member, bool) {
+	if address == c.Self.Peer {
+		return NewMember(c.Self), true
+	}
+	p, ok := c.peers[address]
+	if !ok {
+		return Member{}, false
+	}
+	return p.member, true
+}
+
+// Incarnation returns the incarnation of this host.
+func (c *Core) Incarnation() magnoliashore.Incarnation { return c.Self.Incarnation }
--- /dev/null
+++ b/origin/line.go
@@ -0,0 +1,165 @@
+package origin
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Errors of an exchange for which no byte of the request was sent.
+var (
+	ErrRoom     = errors.New("no connection to the target is free")
+	ErrConnect  = errors.New("cannot connect to the target")
+	errCanceled = errors.New("the request was canceled")
+)
+
+// waiter is a request that waits for a connection.
+type waiter struct {
+	rank  int
+	ready chan *conn // gets a connection, or nil for the right to open one
+}
+
+// line holds the connections to one target.
+type line struct {
+	address string
+	dialer  *net.Dialer
+
+	mu      sync.Mutex
+	idle    []*conn // the latest used last
+	open    int     // connections, idle ones included, and dials under way
+	waiting []*waiter
+	gone    bool // the target is no longer used
+}
+
+// take returns a connection for a request of a rank, at most limit of them
+// open at a time. A request of a lower rank waits in front of the others.
+func (l *line) take(ctx context.Context, now time.Time, rank, limit, queue int) (*conn, error) {
+	l.mu.Lock()
+	for len(l.idle) > 0 {
+		c := l.idle[len(l.idle)-1]
+		l.idle = l.idle[:len(l.idle)-1]
+		if !c.stale(now) {
+			l.mu.Unlock()
+			return c, nil
+		}
+		l.open--
+		_ = c.Close()
+	}
+	if l.open < limit {
+		l.open++
+		l.mu.Unlock()
+		return l.dial(ctx)
+	}
+	if len(l.waiting) >= queue {
+		l.mu.Unlock()
+		return nil, ErrRoom
+	}
+	w := &waiter{rank: rank, ready: make(chan *conn, 1)}
+	at, _ := slices.BinarySearchFunc(l.waiting, rank+1, func(x *waiter, rank int) int { return x.rank - rank })
+	l.waiting = slices.Insert(l.waiting, at, w)
+	l.mu.Unlock()
+	return l.wait(ctx, w)
+}
+
+func (l *line) wait(ctx context.Context, w *waiter) (*conn, error) {
+	select {
+	case c := <-w.ready:
+		if c != nil {
+			return c, nil
+		}
+		return l.dial(ctx)
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	at := slices.Index(l.waiting, w)
+	if at >= 0 {
+		l.waiting = slices.Delete(l.waiting, at, at+1)
+	}
+	l.mu.Unlock()
+	if at >= 0 {
+		return nil, ErrRoom
+	}
+	// The connection was handed over at the same moment.
+	if c := <-w.ready; c != nil {
+		l.put(c)
+	} else {
+		l.release()
+	}
+	return nil, ErrRoom
+}
+
+// dial opens a connection, for which there is room.
+func (l *line) dial(ctx context.Context) (*conn, error) {
+	c, err := l.dialer.DialContext(ctx, "tcp4", l.address)
+	if err != nil {
+		l.release()
+		return nil, errors.Mark(errors.Wrapf(err, "connecting to %s", l.address), ErrConnect)
+	}
+	return newConn(c), nil
+}
+
+// release gives up the room of a connection that is closed.
+func (l *line) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w := l.nextWaiter(); w != nil {
+		w.ready <- nil
+		return
+	}
+	l.open--
+}
+
+// put takes back a connection that can carry another request.
+func (l *line) put(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.gone {
+		l.open--
+		_ = c.Close()
+		return
+	}
+	if w := l.nextWaiter(); w != nil {
+		w.ready <- c
+		return
+	}
+	l.idle = append(l.idle, c)
+}
+
+func (l *line) nextWaiter() *waiter {
+	if len(l.waiting) == 0 {
+		return nil
+	}
+	w := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	return w
+}
+
+// retire closes the idle connections; the others close when they come back.
+func (l *line) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gone = true
+	for _, c := range l.idle {
+		_ = c.Close()
+	}
+	l.open -= len(l.idle)
+	l.idle = nil
+}
+
+// empty reports whether a retired line has no connection left.
+func (l *line) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open == 0 && len(l.waiting) == 0
+}
+
+// setUserTimeout makes the kernel give up a connection whose peer does not
+// acknowledge, as one behind a network partition.
+func setUserTimeout(fd int, timeout time.Duration) error {
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
--- /dev/null
+++ b/origin/pool.go
@@ -0,0 +1,110 @@
+// Package origin speaks HTTP/1.1 to targets. An exchange sends its request at
+// most once and says whether a byte of it may have reached the target.
+package origin
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+const (
+	dialTimeout = time.Second             // many times the round trip inside a region
+	userTimeout = 1500 * time.Millisecond // outlasts one lost segment
+)
+
+// Request is one request to a target, the same for all its attempts.
+type Request struct {
+	Method string
+	URI    string // path and query as the caller sent them
+	Host   string
+	Header http.Header // without fields that concern one connection
+	Body   []byte
+	ID     string // that targets repeat
+	Rank   int    // zero is the most urgent
+}
+
+// Send says how one attempt is made.
+type Send struct {
+	Target      *catalog.Target
+	Patience    time.Duration // how long the request may still take
+	Connections int           // to the target that this host may have
+	Queue       int           // requests that may wait for a connection
+}
+
+// Result is the outcome of an exchange.
+type Result struct {
+	Status int // zero if there is no complete answer
+	Header http.Header
+	Body   []byte
+	Reply  magnoliashore.TargetReply
+	Sent   bool // a byte of the request may have reached the target
+	Opened bool // the request needed a new connection
+	Took   time.Duration
+	Err    error // why there is no complete answer
+}
+
+// NotRun reports whether the request certainly did not run and never will.
+func (r Result) NotRun() bool { return !r.Sent || (r.Status != 0 && r.Reply.NotRun) }
+
+// Ran reports whether the target ran the request with success.
+func (r Result) Ran() bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Reply.Proof != ""
+}
+
+// Pool keeps the connections to all targets. Set the exported fields before
+// the first exchange.
+type Pool struct {
+	Dialect magnoliashore.Dialect
+	Timer   *timer.Service
+	MaxBody int64 // bytes of an answer
+
+	mu    sync.Mutex
+	lines map[magnoliashore.TargetID]*line
+}
+
+func (p *Pool) line(t *catalog.Target) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lines == nil {
+		p.lines = make(map[magnoliashore.TargetID]*line)
+	}
+	l, ok := p.lines[t.ID()]
+	if ok && l.address == t.Address() {
+		return l
+	}
+	if ok {
+		l.retire()
+	}
+	l = &line{address: t.Address(), dialer: &net.Dialer{Timeout: dialTimeout, Control: control}}
+	p.lines[t.ID()] = l
+	return l
+}
+
+// Retain closes the idle connections to targets that are not in the view.
+func (p *Pool) Retain(known func(id magnoliashore.TargetID) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.lines {
+		if known(id) {
+			continue
+		}
+		l.retire()
+		delete(p.lines, id)
+	}
+}
+
+func control(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) { err = setUserTimeout(int(fd), userTimeout) })
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- a/proof/cell_test.go
+++ b/proof/cell_test.go
@@ -111,9 +111,9 @@
 		}
 		c.fleet.Targets = append(c.fleet.Targets, standin.NewTarget(config))
 	}
-	go func() { _ = c.configservice.Run(ctx) }()
+	go func() { _ = c.platform.Run(ctx) }()
 	go func() { _ = c.fleet.Run(ctx) }()
-	<-c.configservice.Ready()
+	<-c.platform.Ready()
 	<-c.fleet.Ready()
 }
 
@@ -168,7 +168,7 @@
 	c.t.Helper()
 	path := filepath.Join(c.dir, fmt.Sprintf("%s-%d.yaml", s.host, time.Now().UnixNano()))
 	text := fmt.Sprintf("host: %s\nzone: %s\ncell: %s\ncaller: %q\npeer: %q\noperator: %q\nplatform: %q\nlog: error\nseeds: %q\n%s",
-		s.host, s.zone, c.shape.Cell(), s.caller, s.peer, s.operator, c.configservice.Addr(), c.seeds(s), c.settings)
+		s.host, s.zone, c.shape.Cell(), s.caller, s.peer, s.operator, c.platform.Addr(), c.seeds(s), c.settings)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		c.t.Fatalf("settings: got %v, want none", err)
 	}
@@ -270,7 +270,7 @@
 }
 
 func (c *cell) publishTable(table []byte) magnoliashore.Version {
-	return c.configservice.Publish(configservice.TableKey(c.shape.Cell()), table)
+	return c.platform.Publish(configservice.TableKey(c.shape.Cell()), table)
 }
 
 func (c *cell) publishLayout(layout magnoliashore.Layout) magnoliashore.Version {
@@ -279,7 +279,7 @@
 	if err != nil {
 		c.t.Fatalf("layout: got %v, want none", err)
 	}
-	return c.configservice.Publish(configservice.LayoutKey(c.shape.Cell()), data)
+	return c.platform.Publish(configservice.LayoutKey(c.shape.Cell()), data)
 }
 
 // setZone publishes the table with a zone in or out.
--- /dev/null
+++ b/registry/reader.go
@@ -0,0 +1,173 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+const (
+	firstRetry = 100 * time.Millisecond // after a failed call to the source
+	lastRetry  = 800 * time.Millisecond // leaves time to apply a change within its bound
+)
+
+// Reader keeps a book up to date from a source. Set the exported fields
+// before Run.
+type Reader struct {
+	Book   *Book
+	Source Source
+	Timer  *timer.Service
+	Log    log.Interface
+	// OnChange is called with each new view, from the reader's goroutines;
+	// may be nil.
+	OnChange func(view *catalog.View)
+
+	mu      sync.Mutex
+	view    atomic.Pointer[catalog.View]
+	changed chan struct{} // closed at the next change
+	lapse   *timer.Subscription
+	heard   time.Time // when the source last answered
+	lost    bool
+}
+
+// View returns what is known now. It is never nil.
+func (r *Reader) View() *catalog.View {
+	if v := r.view.Load(); v != nil {
+		return v
+	}
+	return catalog.NewView(nil, nil)
+}
+
+// Run reads until ctx ends.
+func (r *Reader) Run(ctx context.Context) error {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		err := r.step(ctx)
+		if err == nil {
+			retry = firstRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		r.noteLost(err)
+		wait := r.Timer.After(timer.Jitter(retry))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+		wait.Stop()
+		retry = min(2*retry, lastRetry)
+	}
+	return nil
+}
+
+// step makes one call to the source.
+func (r *Reader) step(ctx context.Context) error {
+	r.mu.Lock()
+	revision := r.Book.Revision()
+	r.mu.Unlock()
+	if revision == 0 {
+		return r.list(ctx)
+	}
+	batch, err := r.Source.Watch(ctx, revision)
+	if errors.Is(err, ErrHistory) {
+		r.Log.WithField("revision", revision).Info("history is gone; listing everything")
+		return r.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	r.take(func(now time.Time) []Change { return r.Book.Apply(now, batch) })
+	return nil
+}
+
+func (r *Reader) list(ctx context.Context) error {
+	batch, err := r.Source.List(ctx)
+	if err != nil {
+		return err
+	}
+	r.take(func(now time.Time) []Change { return r.Book.Replace(now, batch) })
+	return nil
+}
+
+// take applies an answer of the source.
+func (r *Reader) take(apply func(now time.Time) []Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Timer.Now()
+	r.noteHeard(now)
+	changes := apply(now)
+	for _, c := range changes {
+		r.logChange(c)
+	}
+	if len(changes) > 0 || r.view.Load() == nil {
+		r.refresh(now)
+	}
+}
+
+// refresh makes a new view visible, and has the next one made when a lapsed
+// target is given up. The caller holds mu.
+func (r *Reader) refresh(now time.Time) {
+	view, next := r.Book.View(now)
+	r.view.Store(view)
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+	if r.OnChange != nil {
+		r.OnChange(view)
+	}
+	if r.lapse != nil {
+		r.lapse.Stop()
+		r.lapse = nil
+	}
+	if next.IsZero() {
+		return
+	}
+	r.lapse = r.Timer.Call(next.Sub(now), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.refresh(r.Timer.Now())
+	})
+}
+
+func (r *Reader) noteHeard(now time.Time) {
+	if r.lost {
+		r.Log.WithField("after", now.Sub(r.heard).Round(time.Millisecond).String()).Info("the store answers again")
+		r.lost = false
+	}
+	r.heard = now
+}
+
+func (r *Reader) noteLost(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lost {
+		r.lost = true
+		r.Log.WithError(err).WithField("revision", r.Book.Revision()).Warn("the store does not answer")
+	}
+}
+
+func (r *Reader) logChange(c Change) {
+	entry := r.Log.WithFields(log.Fields{"key": c.Item.Key, "revision": c.Item.Revision, "removed": c.Item.Removed})
+	switch {
+	case c.Err != nil:
+		entry.WithError(c.Err).Warn("ignoring an entry that cannot be used")
+	case c.Fact.Config != nil:
+		entry.WithField("version", uint64(c.Fact.Config.Version())).Info("configuration in force")
+	case c.Fact.Target != nil:
+		entry.WithFields(log.Fields{
+			"service": string(c.Fact.Target.Service()), "address": c.Fact.Target.Address(), "leaving": c.Fact.Target.Leaving(),
+		}).Info("target changed")
+	default:
+		entry.WithField("zone", string(c.Fact.Out)).Info("availability zone taken out or back")
+	}
+}
--- /dev/null
+++ b/relay/message.go
@@ -0,0 +1,40 @@
+// Package relay carries batches of shards between hosts: the root of a query
+// asks a host of another availability zone to query the shards with replicas
+// there, and gets their parts merged. It speaks CBOR over WebSocket.
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+// Ask is a batch of shards of one query. Durations count from its arrival.
+type Ask struct {
+	ID       string // of the caller's attempt
+	Method   string
+	URI      string
+	Host     string
+	Header   http.Header
+	Body     []byte
+	Kind     string // requests of a kind take about the same time
+	Rank     int    // zero is the most urgent
+	Patience time.Duration
+	Hedge    time.Duration
+	Settle   time.Duration // when the parts that are in are to be sent back
+	Attempts int
+	Best     int // records of a bundle
+	Shards   []magnoliashore.ServiceName
+}
+
+// Bundle is the merged answer of some shards of a batch. A batch is answered
+// with one bundle or with several that have no shard in common.
+type Bundle struct {
+	Shards  []int // indexes in Ask.Shards
+	Proofs  []string
+	Records []byte
+	Failed  []int // shards that will give no part
+	Ran     bool  // an attempt at a failed shard may have run
+	Last    bool  // nothing follows
+}
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -44,6 +44,13 @@
 	return s.After(at.Sub(s.Now()))
 }
 
+// Call calls f in a goroutine of its own, delay from now. C of the
+// subscription stays empty.
+func (*Service) Call(delay time.Duration, f func()) *Subscription {
+	t := time.AfterFunc(delay, f)
+	return &Subscription{stop: func() { t.Stop() }}
+}
+
 // Jitter returns a random duration between half of and one and a half times d.
 func Jitter(d time.Duration) time.Duration {
 	if d <= 0 {
