fix(retry): count extra sends over a step more than the window

The window was counted in 20 steps of which the newest is not over, so it covered 9.5 to 10 s; the part before was missed. Ruled out: a wrong count of hosts (8 all the time). Change: extra sends are counted over one step more, requests over one less, and a tenth of the limit is left for the time between a send and its arrival.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
@@ -60,6 +62,11 @@
 		Directory: platform.Directory,
 		Ready:     platform.Ready,
 	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	host.Signals = reloads
+	host.Load = func() (gateway.Settings, error) { return loadPlatformSettings(c.opts.settings) }
 	return host.Run(ctx)
 }
 
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -128,3 +128,10 @@
 	defer e.mu.Unlock()
 	e.Book.Retain(view.Has)
 }
+
+// limit puts a limit on repeats in force.
+func (e *Engine) limit(l retry.Limit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Budget.Limit = l
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -42,11 +43,16 @@
 	Decoder  registry.Decoder
 	Timer    *timer.Service
 	Log      log.Interface
+	// Signals asks for Load to be called, which reads the settings again.
+	Signals <-chan os.Signal
+	Load    func() (Settings, error)
 	// Directory and Ready return the handlers that callers and the platform
 	// use to find this host.
 	Directory func(addresses func(zone magnoliashore.ZoneName) ([]string, time.Duration)) http.Handler
 	Ready     func(ready func() bool) http.Handler
 
+	settings atomic.Pointer[Settings] // in force now
+
 	metrics *Metrics
 	reader  *registry.Reader
 	members *membership.Node
@@ -70,6 +76,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, work := errgroup.WithContext(work)
+	group.Go(func() error { h.follow(work); return nil })
 	group.Go(func() error { return h.reader.Run(work) })
 	group.Go(func() error { return h.members.Run(work) })
 	group.Go(func() error { return h.front.run(listeners[0]) })
@@ -96,6 +103,7 @@
 // prepare builds the parts.
 func (h *Host) prepare() {
 	s := h.Settings
+	h.settings.Store(&s)
 	h.began = h.Timer.Now()
 	h.metrics = NewMetrics()
 	self := membership.MemberSpec{
@@ -180,7 +188,7 @@
 // addresses returns where callers of a zone are to connect, and for how long
 // they may keep that.
 func (h *Host) addresses(zone magnoliashore.ZoneName) ([]string, time.Duration) {
-	return callerAddresses(h.members.Members(), zone), min(directoryTime, h.Settings.Refresh)
+	return callerAddresses(h.members.Members(), zone), min(directoryTime, h.settings.Load().Refresh)
 }
 
 // stopping returns for how long this host has been stopping; zero if it is
@@ -197,8 +205,9 @@
 func (h *Host) leave() {
 	h.stopAt.Store(int64(h.Timer.Now().Sub(h.began)))
 	h.members.Leave()
-	h.Log.WithField("grace", h.Settings.Grace.String()).Info("stopping")
-	idle := h.Timer.After(h.Settings.Grace - 2*stopMargin)
+	grace := h.settings.Load().Grace
+	h.Log.WithField("grace", grace.String()).Info("stopping")
+	idle := h.Timer.After(grace - 2*stopMargin)
 	<-idle.C
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
 	defer cancel()
--- /dev/null
+++ b/gateway/reload.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"reflect"
+	"time"
+)
+
+// pollEvery is how often the settings are read without a signal; a change is
+// in force well before the bound for a configuration.
+const pollEvery = time.Second
+
+// follow applies changes of the settings until ctx ends. They are read on each
+// signal and regularly, since they may also change without one. Settings that
+// cannot be used leave the former ones in force.
+func (h *Host) follow(ctx context.Context) {
+	poll := h.Timer.Every(pollEvery)
+	defer poll.Stop()
+	var failed string
+	for {
+		signaled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.Signals:
+			signaled = true
+		case <-poll.C:
+		}
+		s, err := h.Load()
+		if err != nil {
+			if signaled || err.Error() != failed {
+				h.Log.WithError(err).Warn("keeping the former settings: the new ones cannot be used")
+			}
+			failed = err.Error()
+			continue
+		}
+		failed = ""
+		h.reload(s, signaled)
+	}
+}
+
+// reload puts settings in force. Addresses stay until the next start.
+func (h *Host) reload(s Settings, signaled bool) {
+	old := *h.settings.Load()
+	if reflect.DeepEqual(s, old) {
+		if signaled {
+			h.Log.Info("reloaded: the settings have not changed")
+		}
+		return
+	}
+	if s.Caller != old.Caller || s.Peer != old.Peer || s.Ready != old.Ready ||
+		s.Directory != old.Directory || s.Metrics != old.Metrics || s.Store != old.Store || s.Zone != old.Zone {
+		h.Log.Warn("addresses and the availability zone change at the next start only")
+		s.Caller, s.Peer, s.Ready, s.Directory = old.Caller, old.Peer, old.Ready, old.Directory
+		s.Metrics, s.Store, s.Zone = old.Metrics, old.Store, old.Zone
+	}
+	h.settings.Store(&s)
+	h.engine.limit(s.Retries)
+	h.members.Reseed(s.Seeds)
+	h.Log.WithField("seeds", s.Seeds).Info("reloaded")
+}
--- a/membership/node.go
+++ b/membership/node.go
@@ -28,6 +28,7 @@
 
 	members atomic.Pointer[[]Member]
 	leave   chan struct{}
+	seeds   chan []string
 	left    atomic.Bool
 	states  map[string]Member
 	socket  *net.UDPConn
@@ -44,6 +45,7 @@
 // Listen opens the socket at the node's peer address.
 func (n *Node) Listen() error {
 	n.leave = make(chan struct{}, 1)
+	n.seeds = make(chan []string, 1)
 	address, err := net.ResolveUDPAddr("udp4", n.Core.Self.Peer)
 	if err != nil {
 		return magnoliashore.Step(err, "read the address for membership", n.Core.Self.Peer)
@@ -59,6 +61,15 @@
 	}
 }
 
+// Reseed replaces the hosts to join by.
+func (n *Node) Reseed(seeds []string) {
+	select {
+	case <-n.seeds: // an older list that was not taken yet
+	default:
+	}
+	n.seeds <- seeds
+}
+
 // Run takes part in the membership until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	defer func() { _ = n.socket.Close() }()
@@ -76,6 +87,8 @@
 			n.send(n.Core.Receive(n.Timer.Now(), m))
 		case <-ticks.C:
 			n.send(n.Core.Tick(n.Timer.Now()))
+		case seeds := <-n.seeds:
+			n.Core.Seeds = seeds
 		case <-n.leave:
 			n.send(n.Core.Leave())
 		}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -9,7 +9,10 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
-const steps = 20 // of one window
+const (
+	steps  = 20  // of one window
+	margin = 0.9 // of the limit that is used: hosts see requests a little before the targets do
+)
 
 // Limit is what all hosts together may send in any window of time.
 type Limit struct {
@@ -45,7 +48,7 @@
 		return true
 	}
 	c := b.counts(now, service)
-	if c.sum(&c.extra) >= b.allowed(c) {
+	if c.sum(&c.extra, steps+1) >= b.allowed(c) {
 		return false
 	}
 	c.extra[c.at%(2*steps)]++
@@ -53,14 +56,16 @@
 }
 
 func (b *Budget) allowed(c *counts) int {
-	own := b.Limit.Ratio * float64(c.sum(&c.requests))
-	return int(own + float64(b.Limit.Slack)/float64(max(b.Hosts, 1)))
+	own := b.Limit.Ratio * float64(c.sum(&c.requests, steps-1))
+	return int(margin * (own + float64(b.Limit.Slack)/float64(max(b.Hosts, 1))))
 }
 
-// sum adds up the newest window.
-func (c *counts) sum(of *[2 * steps]int) int {
+// sum adds up the newest steps. The newest one is not over yet, so a step more
+// than a window covers every window that ends now, and a step less is covered
+// by each.
+func (c *counts) sum(of *[2 * steps]int, newest int64) int {
 	total := 0
-	for i := range int64(steps) {
+	for i := range newest {
 		if at := c.at - i; at >= 0 {
 			total += of[at%(2*steps)]
 		}
