--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,129 @@
+package balance_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
+	"github.com/magnoliashore/magnoliashore/catalog"
+)
+
+const kind = "browse"
+
+var start = time.Unix(1000, 0)
+
+func target(id magnoliashore.TargetID, zone magnoliashore.ZoneName) *catalog.Target {
+	return catalog.NewTarget(catalog.TargetSpec{ID: id, Zone: zone, Slots: 2})
+}
+
+// answer has a target answer one request after took, and returns the end.
+func answer(b *balance.Book, now time.Time, t *catalog.Target, took time.Duration) time.Time {
+	ticket := b.Start(now, t, kind)
+	now = now.Add(took)
+	b.Done(now, ticket, took)
+	return now
+}
+
+func TestPrefersTheOwnZone(t *testing.T) {
+	t.Parallel()
+	b := &balance.Book{Zone: "a"}
+	far, near := target("far", "b"), target("near", "a")
+	if got := b.Choose(start, []*catalog.Target{far, near}, kind, nil); got != near {
+		t.Errorf("got %s, want the target of the own zone", got.ID())
+	}
+}
+
+// TestLeavesASlowTarget has the near target turn nine times slower.
+func TestLeavesASlowTarget(t *testing.T) {
+	t.Parallel()
+	b := &balance.Book{Zone: "a"}
+	far, near := target("far", "b"), target("near", "a")
+	now := start
+	for range 20 {
+		now = answer(b, now, far, 30*time.Millisecond)
+		now = answer(b, now, near, 30*time.Millisecond)
+	}
+	for range 8 {
+		now = answer(b, now, near, 270*time.Millisecond)
+	}
+	if got := b.Choose(now, []*catalog.Target{far, near}, kind, nil); got != far {
+		t.Errorf("got %s, want the target that is not slow", got.ID())
+	}
+	now = now.Add(20 * time.Second)
+	if got := b.Choose(now, []*catalog.Target{far, near}, kind, nil); got != near {
+		t.Errorf("got %s after the slowness is long past, want the near one", got.ID())
+	}
+}
+
+// TestLeavesAPausedTarget has a target stand still with requests under way.
+func TestLeavesAPausedTarget(t *testing.T) {
+	t.Parallel()
+	b := &balance.Book{Zone: "a"}
+	first, second := target("first", "a"), target("second", "a")
+	now := start
+	for range 20 {
+		now = answer(b, now, first, 30*time.Millisecond)
+		now = answer(b, now, second, 30*time.Millisecond)
+	}
+	b.Start(now, first, kind)
+	b.Start(now, second, kind)
+	b.Start(now.Add(180*time.Millisecond), second, kind)
+	now = now.Add(200 * time.Millisecond)
+	second2 := target("third", "a")
+	if got := b.Choose(now, []*catalog.Target{first, second2}, kind, nil); got != second2 {
+		t.Errorf("got %s, want the one that does not stand still", got.ID())
+	}
+}
+
+// TestLeavesAFailingTarget has a target refuse: it is left for a while that
+// grows, and chosen when there is no other.
+func TestLeavesAFailingTarget(t *testing.T) {
+	t.Parallel()
+	b := &balance.Book{Zone: "a"}
+	bad, good := target("bad", "a"), target("good", "b")
+	both := []*catalog.Target{bad, good}
+	b.Failed(start, b.Start(start, bad, kind))
+	if got := b.Choose(start, both, kind, nil); got != good {
+		t.Errorf("got %s, want the target that did not fail", got.ID())
+	}
+	if got := b.Choose(start, []*catalog.Target{bad}, kind, nil); got != bad {
+		t.Error("got no target, want the failing one: there is no other")
+	}
+	if got := b.Choose(start.Add(200*time.Millisecond), both, kind, nil); got != bad {
+		t.Errorf("got %s after the first failure has passed, want the near one", got.ID())
+	}
+	for range 5 {
+		b.Failed(start, b.Start(start, bad, kind))
+	}
+	if got := b.Choose(start.Add(time.Second), both, kind, nil); got != good {
+		t.Errorf("got %s a second after six failures, want the other", got.ID())
+	}
+}
+
+func TestLeavesOutTriedTargets(t *testing.T) {
+	t.Parallel()
+	b := &balance.Book{Zone: "a"}
+	one := target("one", "a")
+	if got := b.Choose(start, []*catalog.Target{one}, kind, []magnoliashore.TargetID{"one"}); got != nil {
+		t.Errorf("got %s, want none", got.ID())
+	}
+}
+
+func TestDealsSplitsByWeight(t *testing.T) {
+	t.Parallel()
+	route := catalog.NewRoute(catalog.RouteSpec{Name: "r", Split: []catalog.Share{
+		{Service: "x", Weight: 0.7}, {Service: "y", Weight: 0.25}, {Service: "z", Weight: 0.05}, {Service: "none", Weight: 0},
+	}})
+	var d balance.Dealer
+	counts := make(map[magnoliashore.ServiceName]int)
+	for range 100 {
+		counts[d.Next(route)]++
+	}
+	for service, want := range map[magnoliashore.ServiceName]int{"x": 70, "y": 25, "z": 5, "none": 0} {
+		if got := counts[service]; math.Abs(float64(got-want)) > 1 {
+			t.Errorf("%s: got %d of 100 requests, want %d", service, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/origin/exchange_test.go
@@ -0,0 +1,347 @@
+package origin_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// dialect is a small set of header fields.
+type dialect struct{}
+
+func (dialect) Caller(http.Header) magnoliashore.CallerTerms { return magnoliashore.CallerTerms{} }
+
+func (dialect) Order(h http.Header, terms magnoliashore.TargetTerms) {
+	h.Set("To", string(terms.Target))
+}
+
+func (dialect) Reply(_ int, h http.Header) magnoliashore.TargetReply {
+	return magnoliashore.TargetReply{Echo: h.Get("Echo"), Proof: h.Get("Proof"), NotRun: h.Get("Refused") != ""}
+}
+
+func (dialect) Coverage(http.Header, []string, int) {}
+
+func (dialect) Signature(proof string) bool { return proof != "" }
+
+// script is a target that plays one function for each connection.
+type script struct {
+	listener net.Listener
+	opened   atomic.Int32
+}
+
+// play serves connections, each with its own call of serve.
+func play(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) *script {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(s.opened.Add(1))
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *script) target() *catalog.Target {
+	return catalog.NewTarget(catalog.TargetSpec{ID: "t1", Address: s.listener.Addr().String(), Slots: 2})
+}
+
+// next reads a request and returns its ID.
+func next(r *bufio.Reader) (string, string, bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", "", false
+	}
+	body, err := io.ReadAll(req.Body)
+	return req.Header.Get("Id"), string(body), err == nil
+}
+
+func reply(c net.Conn, text string) { _, _ = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n")) }
+
+// echoes answers each request with its ID.
+func echoes(_ int, c net.Conn, r *bufio.Reader) {
+	for {
+		id, _, ok := next(r)
+		if !ok {
+			return
+		}
+		reply(c, "HTTP/1.1 200 OK\nEcho: "+id+"\nProof: p-"+id+"\nContent-Length: 2\n\nok")
+	}
+}
+
+type caller struct {
+	pool   *origin.Pool
+	target *catalog.Target
+}
+
+func newCaller(s *script) *caller {
+	return &caller{pool: &origin.Pool{Dialect: dialect{}, Timer: &timer.Service{}, MaxBody: 1 << 20}, target: s.target()}
+}
+
+func (c *caller) ask(ctx context.Context, id, body string) origin.Result {
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	return c.pool.Do(ctx, origin.Request{
+		Method: method, URI: "/x/?q=%2f", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body), ID: id,
+	}, origin.Send{Target: c.target, Patience: time.Second, Connections: 2, Queue: 1})
+}
+
+func wantStatus(t *testing.T, what string, got origin.Result, want int) {
+	t.Helper()
+	if got.Status != want {
+		t.Errorf("%s: got status %d (%v), want %d", what, got.Status, got.Err, want)
+	}
+}
+
+func TestKeepsTheConnection(t *testing.T) {
+	t.Parallel()
+	s := play(t, echoes)
+	c := newCaller(s)
+	for _, id := range []string{"a", "b", "c"} {
+		got := c.ask(t.Context(), id, "")
+		wantStatus(t, id, got, http.StatusOK)
+		if got.Reply.Echo != id || string(got.Body) != "ok" {
+			t.Errorf("got answer %q to %q with body %q, want the own one", got.Reply.Echo, id, got.Body)
+		}
+	}
+	if got := s.opened.Load(); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
+
+// TestAnswers plays single answers of a faulty target.
+func TestAnswers(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		answer string
+		status int
+		notRun bool
+	}{
+		{"complete by length", "HTTP/1.1 200 OK\nEcho: a\nContent-Length: 2\n\nok", 200, false},
+		{"complete by chunks", "HTTP/1.1 200 OK\nEcho: a\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n", 200, false},
+		{"complete by a clean end", "HTTP/1.1 200 OK\nEcho: a\n\nok", 200, false},
+		{"cut short", "HTTP/1.1 200 OK\nEcho: a\nContent-Length: 20\n\nok", 0, false},
+		{"cut between chunks", "HTTP/1.1 200 OK\nEcho: a\nTransfer-Encoding: chunked\n\n2\nok\n", 0, false},
+		{"no answer in the protocol", "\x00\x01garbage", 0, false},
+		{"interim answers first", "HTTP/1.1 103 Early Hints\nLink: x\n\nHTTP/1.1 200 OK\nEcho: a\nContent-Length: 2\n\nok", 200, false},
+		{"no answer at all", "", 0, false},
+		{"a refusal", "HTTP/1.1 503 Service Unavailable\nRefused: 1\nContent-Length: 0\n\n", 503, true},
+		{"an answer to another request first", "HTTP/1.1 200 OK\nEcho: z\nContent-Length: 1\n\nzHTTP/1.1 200 OK\nEcho: a\nContent-Length: 2\n\nok", 200, false},
+		{"only answers to another request", "HTTP/1.1 200 OK\nEcho: z\nContent-Length: 1\n\nz", 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := play(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, ok := next(r); ok {
+					reply(c, test.answer)
+				}
+			})
+			got := newCaller(s).ask(t.Context(), "a", "")
+			wantStatus(t, "answer", got, test.status)
+			if got.NotRun() != test.notRun {
+				t.Errorf("got not run %t, want %t", got.NotRun(), test.notRun)
+			}
+			if test.status == http.StatusOK && string(got.Body) != "ok" {
+				t.Errorf("got body %q, want %q", got.Body, "ok")
+			}
+		})
+	}
+}
+
+// TestResetAnswerIsNotComplete resets an answer whose end is that of its
+// connection.
+func TestResetAnswerIsNotComplete(t *testing.T) {
+	t.Parallel()
+	s := play(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, _, ok := next(r); !ok {
+			return
+		}
+		reply(c, "HTTP/1.1 200 OK\nEcho: a\n\nok")
+		time.Sleep(20 * time.Millisecond)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	})
+	wantStatus(t, "reset", newCaller(s).ask(t.Context(), "a", ""), 0)
+}
+
+// TestRepeatedAnswer sends an answer twice; the second copy, which comes late
+// and without an echo, is not taken for the answer to the next request.
+func TestRepeatedAnswer(t *testing.T) {
+	t.Parallel()
+	s := play(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for _, own := range []string{"first", "other"} {
+			if _, _, ok := next(r); !ok {
+				return
+			}
+			if own == "other" {
+				reply(c, "HTTP/1.1 200 OK\nProof: p-first\nContent-Length: 5\n\nfirst")
+			}
+			reply(c, "HTTP/1.1 200 OK\nProof: p-"+own+"\nContent-Length: 5\n\n"+own)
+		}
+	})
+	c := newCaller(s)
+	wantStatus(t, "first", c.ask(t.Context(), "a", ""), http.StatusOK)
+	if got := c.ask(t.Context(), "b", ""); string(got.Body) != "other" {
+		t.Errorf("got body %q, want %q", got.Body, "other")
+	}
+}
+
+// TestBytesAfterAnAnswer spoils a connection: the next request gets another.
+func TestBytesAfterAnAnswer(t *testing.T) {
+	t.Parallel()
+	s := play(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			echoes(n, c, r)
+			return
+		}
+		if id, _, ok := next(r); ok {
+			reply(c, "HTTP/1.1 200 OK\nEcho: "+id+"\nContent-Length: 2\n\nokextra")
+			_, _, _ = next(r)
+		}
+	})
+	c := newCaller(s)
+	wantStatus(t, "first", c.ask(t.Context(), "a", ""), http.StatusOK)
+	time.Sleep(20 * time.Millisecond)
+	wantStatus(t, "second", c.ask(t.Context(), "b", ""), http.StatusOK)
+	if got := s.opened.Load(); got != 2 {
+		t.Errorf("got %d connections, want 2", got)
+	}
+}
+
+// TestClosedIdleConnection has the target close an idle connection: the next
+// request is not sent on it.
+func TestClosedIdleConnection(t *testing.T) {
+	t.Parallel()
+	s := play(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if id, _, ok := next(r); ok {
+			reply(c, "HTTP/1.1 200 OK\nEcho: "+id+"\nContent-Length: 2\n\nok")
+		}
+	})
+	c := newCaller(s)
+	for _, id := range []string{"a", "b", "c"} {
+		wantStatus(t, id, c.ask(t.Context(), id, "body"), http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestEarlyAnswer has the target answer before it reads a long body, and read
+// the whole of it afterwards: the connection carries the next request.
+func TestEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("x", 4<<20)
+	bodies := make(chan int, 2)
+	s := play(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			reply(c, "HTTP/1.1 429 Too Many Requests\nRefused: 1\nContent-Length: 0\n\n")
+			time.Sleep(50 * time.Millisecond)
+			body, _ := io.ReadAll(req.Body)
+			bodies <- len(body)
+		}
+	})
+	c := newCaller(s)
+	for _, id := range []string{"a", "b"} {
+		began := time.Now()
+		wantStatus(t, id, c.ask(t.Context(), id, long), http.StatusTooManyRequests)
+		if got := time.Since(began); got > 45*time.Millisecond {
+			t.Errorf("got the early answer after %s, want it before the body is read", got)
+		}
+		if got := <-bodies; got != len(long) {
+			t.Errorf("target read %d bytes, want %d", got, len(long))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := s.opened.Load(); got != 1 {
+		t.Errorf("got %d connections, want 1", got)
+	}
+}
+
+// TestCancelClosesTheConnection lets a target see that its caller has left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	t.Parallel()
+	left := make(chan struct{})
+	s := play(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		if _, _, ok := next(r); ok {
+			_, _ = r.ReadByte()
+			close(left)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	got := newCaller(s).ask(ctx, "a", "")
+	if got.Status != 0 || got.NotRun() {
+		t.Errorf("got status %d and not run %t, want no answer to a request that may have run", got.Status, got.NotRun())
+	}
+	select {
+	case <-left:
+	case <-time.After(2 * time.Second):
+		t.Error("target did not see the close, want it at once")
+	}
+}
+
+// TestConnectionLimit holds more requests than there may be connections: they
+// wait, and those beyond the queue are refused without being sent.
+func TestConnectionLimit(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	s := play(t, func(n int, c net.Conn, r *bufio.Reader) {
+		<-release
+		echoes(n, c, r)
+	})
+	c := newCaller(s)
+	results := make(chan origin.Result, 4)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		go func() { results <- c.ask(t.Context(), id, "") }()
+	}
+	refused := <-results
+	if refused.Status != 0 || !refused.NotRun() {
+		t.Errorf("got status %d and not run %t, want a refusal without a send", refused.Status, refused.NotRun())
+	}
+	close(release)
+	for range 3 {
+		wantStatus(t, "waiting", <-results, http.StatusOK)
+	}
+	if got := s.opened.Load(); got != 2 {
+		t.Errorf("got %d connections, want the limit of 2", got)
+	}
+}
+
+func TestRefusedConnectionDidNotRun(t *testing.T) {
+	t.Parallel()
+	s := play(t, echoes)
+	_ = s.listener.Close()
+	if got := newCaller(s).ask(t.Context(), "a", ""); !got.NotRun() {
+		t.Error("got that the request may have run, want that it has not")
+	}
+}
--- /dev/null
+++ b/registry/book_test.go
@@ -0,0 +1,192 @@
+package registry_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+const lapse = 2 * time.Second
+
+// decoder reads "target SERVICE STATE", "config VERSION" and "out ZONE".
+type decoder struct{}
+
+func (decoder) Decode(item registry.Item, _ time.Time) (registry.Fact, error) {
+	words := strings.Fields(string(item.Value))
+	switch {
+	case len(words) == 3 && words[0] == "target":
+		return registry.Fact{Target: catalog.NewTarget(catalog.TargetSpec{
+			ID: magnoliashore.TargetID(item.Key), Service: magnoliashore.ServiceName(words[1]),
+			Leaving: words[2] == "leaving", Zone: magnoliashore.ZoneName(item.Key[:1]),
+		})}, nil
+	case len(words) == 2 && words[0] == "config":
+		return registry.Fact{Config: catalog.NewConfig(catalog.ConfigSpec{Version: magnoliashore.Version(words[1][0] - '0')})}, nil
+	case len(words) == 2 && words[0] == "out":
+		return registry.Fact{Out: magnoliashore.ZoneName(words[1])}, nil
+	}
+	return registry.Fact{}, errors.New("unreadable")
+}
+
+func item(key, value string, revision uint64) registry.Item {
+	return registry.Item{Key: key, Value: []byte(value), Revision: revision}
+}
+
+func gone(key string, revision uint64) registry.Item {
+	return registry.Item{Key: key, Revision: revision, Removed: true}
+}
+
+func batch(revision uint64, items ...registry.Item) registry.Batch {
+	return registry.Batch{Items: items, Revision: revision}
+}
+
+func newBook() *registry.Book { return &registry.Book{Decoder: decoder{}, Lapse: lapse} }
+
+func targets(b *registry.Book, now time.Time, service magnoliashore.ServiceName) []magnoliashore.TargetID {
+	view, _ := b.View(now)
+	var ids []magnoliashore.TargetID
+	for _, t := range view.Targets(service) {
+		ids = append(ids, t.ID())
+	}
+	return ids
+}
+
+func wantTargets(t *testing.T, b *registry.Book, now time.Time, want ...magnoliashore.TargetID) {
+	t.Helper()
+	if got := targets(b, now, "s"); !slices.Equal(got, want) {
+		t.Errorf("got targets %v, want %v", got, want)
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(5, item("op/config", "config 4", 5)))
+	b.Apply(start, batch(9, item("op/config", "config 3", 9)))
+	if got, want := b.Config().Version(), magnoliashore.Version(4); got != want {
+		t.Errorf("got version %d after an older one, want %d", got, want)
+	}
+	b.Replace(start, batch(3, item("op/config", "config 2", 2)))
+	if got, want := b.Config().Version(), magnoliashore.Version(4); got != want {
+		t.Errorf("got version %d after a stale listing, want %d", got, want)
+	}
+	b.Apply(start, batch(12, item("op/config", "broken", 12)))
+	if got, want := b.Config().Version(), magnoliashore.Version(4); got != want {
+		t.Errorf("got version %d after an unreadable one, want %d", got, want)
+	}
+	b.Apply(start, batch(13, item("op/config", "config 6", 13)))
+	if got, want := b.Config().Version(), magnoliashore.Version(6); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+}
+
+func TestLateReportsAreIgnored(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(8, item("a1", "target s leaving", 8)))
+	b.Apply(start, batch(8, item("a1", "target s ready", 4)))
+	wantTargets(t, b, start)
+	b.Apply(start, batch(9, gone("a1", 9)))
+	b.Apply(start, batch(9, item("a1", "target s ready", 7)))
+	wantTargets(t, b, start)
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(2, item("a1", "target s ready", 1), item("a2", "target s ready", 2)))
+	b.Apply(start, batch(3, item("a1", "target s leaving", 3)))
+	wantTargets(t, b, start, "a2")
+	b.Apply(start, batch(4, gone("a1", 4)))
+	wantTargets(t, b, start, "a2")
+}
+
+// TestLapsedEntriesAreALastResort has the store drop the entries of living
+// targets while it was away, and some of them come back.
+func TestLapsedEntriesAreALastResort(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(2, item("a1", "target s ready", 1), item("a2", "target s ready", 2)))
+	b.Apply(start, batch(4, gone("a1", 3), gone("a2", 4)))
+	wantTargets(t, b, start, "a1", "a2")
+	b.Apply(start.Add(time.Second), batch(5, item("a1", "target s ready", 5)))
+	wantTargets(t, b, start.Add(time.Second), "a1")
+	_, next := b.View(start)
+	if want := start.Add(lapse); !next.Equal(want) {
+		t.Errorf("got next change at %v, want %v", next, want)
+	}
+	b.Apply(start.Add(time.Second), batch(6, gone("a1", 6)))
+	wantTargets(t, b, start.Add(2500*time.Millisecond), "a1")
+	wantTargets(t, b, start.Add(3500*time.Millisecond))
+}
+
+func TestListingRemovesWhatItLacks(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Replace(start, batch(3, item("a1", "target s ready", 1), item("a2", "target s ready", 2)))
+	b.Replace(start, batch(9, item("a2", "target s ready", 2)))
+	wantTargets(t, b, start, "a2")
+	b.Apply(start, batch(12, item("a3", "target s ready", 12)))
+	b.Replace(start, batch(10, item("a2", "target s ready", 2)))
+	wantTargets(t, b, start, "a2", "a3")
+}
+
+func TestZoneOutAndBack(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(3, item("a1", "target s ready", 1), item("b1", "target s ready", 2)))
+	b.Apply(start, batch(4, item("op/evacuate/a", "out a", 4)))
+	wantTargets(t, b, start, "b1")
+	b.Apply(start, batch(5, gone("op/evacuate/a", 5)))
+	wantTargets(t, b, start, "a1", "b1")
+}
+
+func TestUnreadableEntryNamesNoTarget(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(1, item("a1", "target s ready", 1)))
+	changes := b.Apply(start, batch(2, item("a1", "nonsense", 2)))
+	wantTargets(t, b, start)
+	if len(changes) != 1 || changes[0].Err == nil {
+		t.Errorf("got changes %+v, want one with an error", changes)
+	}
+}
+
+// TestPeerLearnsFromABook has a second book follow the first one.
+func TestPeerLearnsFromABook(t *testing.T) {
+	t.Parallel()
+	first, second := newBook(), newBook()
+	first.Apply(start, batch(3, item("a1", "target s ready", 1), item("a2", "target s ready", 2), item("op/config", "config 4", 3)))
+	second.Replace(start, first.All())
+	first.Apply(start, batch(7, item("a3", "target s ready", 5), item("a1", "target s leaving", 6), item("op/config", "config 5", 7)))
+	changes, err := first.After(second.Revision())
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.Apply(start, changes)
+	wantTargets(t, second, start, "a2", "a3")
+	if got, want := second.Config().Version(), magnoliashore.Version(5); got != want {
+		t.Errorf("got version %d, want %d", got, want)
+	}
+}
+
+func TestForgottenHistoryIsSaid(t *testing.T) {
+	t.Parallel()
+	b := newBook()
+	b.Apply(start, batch(1, item("a", "target s ready", 1)))
+	for i := range uint64(3000) {
+		key := "x" + string(rune('a'+i%26)) + time.Duration(i).String()
+		b.Apply(start, batch(2+2*i+1, item(key, "target s leaving", 2+2*i), gone(key, 2+2*i+1)))
+	}
+	if _, err := b.After(1); !errors.Is(err, registry.ErrHistory) {
+		t.Errorf("got error %v, want %v", err, registry.ErrHistory)
+	}
+}
--- /dev/null
+++ b/scatter/race_test.go
@@ -0,0 +1,165 @@
+package scatter_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore/scatter"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func terms() scatter.Terms {
+	return scatter.Terms{
+		Shards: 4, Needed: 3, Attempts: 2,
+		Hedge: 30 * time.Millisecond, Settle: 80 * time.Millisecond, Timeout: 800 * time.Millisecond,
+	}
+}
+
+// sent returns a race of which every shard was asked once at the start.
+func sent(t scatter.Terms) *scatter.Race {
+	r := scatter.NewRace(t, start)
+	for i := range t.Shards {
+		r.Sent(start, i)
+	}
+	return r
+}
+
+func TestVerdict(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name  string
+		play  func(r *scatter.Race)
+		after int // milliseconds
+		want  scatter.Verdict
+	}{
+		{"nothing is in", func(*scatter.Race) {}, 10, scatter.Wait},
+		{"all parts are in", func(r *scatter.Race) { in(r, 0, 1, 2, 3) }, 10, scatter.Answer},
+		{"enough parts before the settle time", func(r *scatter.Race) { in(r, 0, 1, 2) }, 79, scatter.Wait},
+		{"enough parts at the settle time", func(r *scatter.Race) { in(r, 0, 1, 2) }, 80, scatter.Answer},
+		{"too few parts at the settle time", func(r *scatter.Race) { in(r, 0, 1) }, 80, scatter.Wait},
+		{"enough parts and the rest lost", func(r *scatter.Race) { in(r, 0, 1, 2); miss(r, 3) }, 10, scatter.Answer},
+		{"too many shards lost", func(r *scatter.Race) { miss(r, 2, 3) }, 10, scatter.Fail},
+		{"the time is over", func(r *scatter.Race) { in(r, 0) }, 800, scatter.Expired},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			r := sent(terms())
+			test.play(r)
+			if got := r.Verdict(at(test.after)); got != test.want {
+				t.Errorf("got verdict %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+func in(r *scatter.Race, shards ...int) {
+	for _, i := range shards {
+		r.In(i)
+	}
+}
+
+func miss(r *scatter.Race, shards ...int) {
+	for _, i := range shards {
+		r.Missed(i, false)
+		r.Lose(i)
+	}
+}
+
+// TestHedgesPausedShards has one replica pause: its shard alone is asked again.
+func TestHedgesPausedShards(t *testing.T) {
+	t.Parallel()
+	r := sent(terms())
+	in(r, 0, 1, 3)
+	if got := r.Late(at(29)); len(got) != 0 {
+		t.Errorf("got late shards %v before the hedging delay, want none", got)
+	}
+	if got := r.Wake(at(10)); !got.Equal(at(30)) {
+		t.Errorf("got wake-up at %v, want %v", got.Sub(start), at(30).Sub(start))
+	}
+	if got, want := r.Late(at(30)), []int{2}; !slices.Equal(got, want) {
+		t.Fatalf("got late shards %v, want %v", got, want)
+	}
+	r.Sent(at(30), 2)
+	if got := r.Late(at(200)); len(got) != 0 {
+		t.Errorf("got late shards %v after both attempts, want none", got)
+	}
+	if !r.In(2) {
+		t.Error("got a repeated part, want the first")
+	}
+	if r.In(2) {
+		t.Error("got a first part, want a repeated one")
+	}
+	if got := r.Missing(); got != 0 {
+		t.Errorf("got %d missing, want 0", got)
+	}
+}
+
+// TestBudgetRefusesHedge has the retry budget empty: the shard is not lost
+// while its first attempt is open.
+func TestBudgetRefusesHedge(t *testing.T) {
+	t.Parallel()
+	r := sent(terms())
+	in(r, 0, 1, 2)
+	r.Lose(3)
+	r.Hold(at(30), 3)
+	if got := r.Late(at(40)); len(got) != 0 {
+		t.Errorf("got late shards %v right after a refused hedge, want none", got)
+	}
+	if got := r.Verdict(at(40)); got != scatter.Wait {
+		t.Errorf("got verdict %d, want %d: an open attempt may bring the part", got, scatter.Wait)
+	}
+}
+
+// TestOnceIsSentAgainOnlyIfNotRun has a request that may run once.
+func TestOnceIsSentAgainOnlyIfNotRun(t *testing.T) {
+	t.Parallel()
+	once := scatter.Terms{Shards: 1, Needed: 1, Attempts: 3, Hedge: time.Millisecond, Timeout: time.Second, Once: true}
+	r := sent(once)
+	if got := r.Late(at(500)); len(got) != 0 {
+		t.Errorf("got a hedge of a request that may run once, want none")
+	}
+	if !r.Missed(0, false) {
+		t.Error("got no repeat after a refusal, want one")
+	}
+	r.Sent(at(1), 0)
+	if r.Missed(0, true) {
+		t.Error("got a repeat after an attempt that may have run, want none")
+	}
+	r.Lose(0)
+	if got := r.Verdict(at(2)); got != scatter.Fail {
+		t.Errorf("got verdict %d, want %d", got, scatter.Fail)
+	}
+	if !r.Ran() {
+		t.Error("got not run, want that it may have run")
+	}
+}
+
+// TestRefusedEverywhereDidNotRun has all targets refuse.
+func TestRefusedEverywhereDidNotRun(t *testing.T) {
+	t.Parallel()
+	r := sent(terms())
+	miss(r, 0, 1, 2, 3)
+	if r.Ran() {
+		t.Error("got that the query may have run, want that it has not")
+	}
+}
+
+// TestDelegatedShardIsNotAskedHere has another host ask a shard.
+func TestDelegatedShardIsNotAskedHere(t *testing.T) {
+	t.Parallel()
+	r := scatter.NewRace(terms(), start)
+	for i := range 4 {
+		r.Delegated(start, i)
+	}
+	if got := r.Late(at(100)); len(got) != 0 {
+		t.Errorf("got late shards %v, want none", got)
+	}
+	if r.Missed(1, true) {
+		t.Error("got a repeat of a shard that another host asks, want none")
+	}
+}
