--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -12,8 +12,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/entry"
 	"github.com/magnoliashore/magnoliashore/configservice"
+	"github.com/magnoliashore/magnoliashore/entry"
 	"github.com/magnoliashore/magnoliashore/settings"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
--- a/entry/config.go
+++ b/entry/config.go
@@ -9,10 +9,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/configservice"
 	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/operator"
 	"github.com/magnoliashore/magnoliashore/peer"
-	"github.com/magnoliashore/magnoliashore/configservice"
 )
 
 // Times of the configuration duty.
--- a/entry/config_read.go
+++ b/entry/config_read.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/configservice"
+	"github.com/magnoliashore/magnoliashore/event"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
--- a/entry/query_cell_test.go
+++ b/entry/query_cell_test.go
@@ -13,8 +13,8 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/magnoliashore/magnoliashore"
-	"github.com/magnoliashore/magnoliashore/entry"
 	"github.com/magnoliashore/magnoliashore/configservice"
+	"github.com/magnoliashore/magnoliashore/entry"
 	"github.com/magnoliashore/magnoliashore/settings"
 	"github.com/magnoliashore/magnoliashore/standin"
 	"github.com/magnoliashore/magnoliashore/timer"
--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -43,7 +43,7 @@
 // bundle merges the pieces that were not reported yet.
 func (r *run) bundle() relay.Bundle {
 	var b relay.Bundle
-	var parts [][]byte
+	parts := make([][]byte, 0, r.fresh)
 	for _, p := range r.pieces[len(r.pieces)-r.fresh:] {
 		b.Shards = append(b.Shards, p.shards...)
 		b.Proofs = append(b.Proofs, p.proofs...)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -279,4 +279,3 @@
 	}
 	return out
 }
-
--- a/load/remote.go
+++ b/load/remote.go
@@ -15,8 +15,8 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/caller/client"
-	"github.com/magnoliashore/magnoliashore/operator"
 	"github.com/magnoliashore/magnoliashore/configservice"
+	"github.com/magnoliashore/magnoliashore/operator"
 	"github.com/magnoliashore/magnoliashore/standin"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -155,11 +155,13 @@
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "reading the answer of the target")}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, p.MaxBody+1))
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "reading the body of the target's answer")}
 	}
 	if int64(len(body)) > p.MaxBody {
+		_ = c.Close() // the rest of the body is not read
 		return Result{Err: errLarge}
 	}
 	if resp.Close {
--- a/origin/line.go
+++ b/origin/line.go
@@ -151,13 +151,6 @@
 	l.idle = nil
 }
 
-// empty reports whether a retired line has no connection left.
-func (l *line) empty() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.open == 0 && len(l.waiting) == 0
-}
-
 // setUserTimeout makes the kernel give up a connection whose peer does not
 // acknowledge, as one behind a network partition.
 func setUserTimeout(fd int, timeout time.Duration) error {
--- a/registry/book_test.go
+++ b/registry/book_test.go
@@ -52,8 +52,9 @@
 
 func targets(b *registry.Book, now time.Time, service magnoliashore.ServiceName) []magnoliashore.TargetID {
 	view, _ := b.View(now)
-	var ids []magnoliashore.TargetID
-	for _, t := range view.Targets(service) {
+	list := view.Targets(service)
+	ids := make([]magnoliashore.TargetID, 0, len(list))
+	for _, t := range list {
 		ids = append(ids, t.ID())
 	}
 	return ids
--- a/scatter/merge_test.go
+++ b/scatter/merge_test.go
@@ -11,7 +11,7 @@
 func record(c string) []byte { return []byte(strings.Repeat(c, scatter.RecordSize)) }
 
 func join(records ...string) []byte {
-	var b []byte
+	b := make([]byte, 0, len(records)*scatter.RecordSize)
 	for _, r := range records {
 		b = append(b, record(r)...)
 	}
--- a/scatter/race.go
+++ b/scatter/race.go
@@ -48,7 +48,6 @@
 	shards []shard
 	in     int
 	lost   int
-	hedged int
 }
 
 // NewRace returns the course of a query that begins at now.
