feat(registry): few hosts read the store, the others follow them; watches that miss changes are noticed

While the store's history was dropped, watches heard nothing for 6 s, longer than a configuration may take. Ruled out: a lost listing (the hosts listed within 30 ms once they were told). Change: a watch waits 1.5 s; one without events at a later revision counts as lost history. Two hosts of different zones read the store, others watch those; a source that fails or has not heard the store for 2.5 s is left for the next.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -39,7 +39,7 @@
 type Host struct {
 	Settings Settings
 	Dialect  magnoliashore.Dialect
-	Source   registry.Source
+	Source   registry.Source // the store
 	Decoder  registry.Decoder
 	Timer    *timer.Service
 	Log      log.Interface
@@ -125,7 +125,7 @@
 	lapse := min(time.Duration(lapseShare*float64(s.Drain)), longestLapse)
 	h.reader = &registry.Reader{
 		Book:   &registry.Book{Decoder: h.Decoder, Lapse: lapse},
-		Source: h.Source, Timer: h.Timer, Log: h.Log, OnChange: h.applied,
+		Source: h.selector(), Timer: h.Timer, Log: h.Log, OnChange: h.applied,
 	}
 	h.engine = &Engine{
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.metrics,
@@ -140,6 +140,16 @@
 	}}
 }
 
+// selector returns the source of entries: the store, or hosts that read it.
+func (h *Host) selector() registry.Source {
+	client := registry.NewPeerClient(relay.Control)
+	return &registry.Selector{
+		Store: h.Source, Timer: h.Timer, Log: h.Log,
+		Dial:  func(address string) registry.Source { return &registry.Peer{Address: address, Client: client} },
+		Order: func() ([]string, bool) { return readOrder(h.members.Members(), h.Settings.Peer) },
+	}
+}
+
 // applied takes a new view of the configuration and the targets.
 func (h *Host) applied(view *catalog.View) {
 	if config := view.Config(); config != nil {
@@ -175,6 +185,7 @@
 func (h *Host) handlers() []http.Handler {
 	peers := http.NewServeMux()
 	peers.Handle(relay.Path, &relay.Server{Handle: h.engine.Batch, Timer: h.Timer, Log: h.Log})
+	peers.Handle(registry.Path, &registry.Server{Reader: h.reader})
 	handlers := []http.Handler{peers, h.Ready(h.ready), h.Directory(h.addresses)}
 	if h.Settings.Metrics != "" {
 		handlers = append(handlers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { h.metrics.Write(w) }))
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/membership"
@@ -134,3 +137,35 @@
 
 // nearEnough is how many hosts of a zone bear the loss of one.
 const nearEnough = 2
+
+// readers is how many hosts read the store themselves; they lie in different
+// availability zones, so that the loss of one leaves another.
+const readers = 2
+
+// readOrder returns the hosts to read entries from, the best first, and
+// whether this host reads the store itself.
+func readOrder(members []membership.Member, self string) (order []string, reads bool) {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b membership.Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.Peer()), xxhash.Sum64String(b.Peer()))
+	})
+	var chosen []membership.Member
+	for _, m := range ranked {
+		taken := slices.ContainsFunc(chosen, func(c membership.Member) bool { return c.Zone() == m.Zone() })
+		if m.State() == membership.Alive && !taken && len(chosen) < readers {
+			chosen = append(chosen, m)
+		}
+	}
+	for _, m := range chosen {
+		if m.Peer() == self {
+			reads = true
+			continue
+		}
+		order = append(order, m.Peer())
+	}
+	// Half of the hosts prefer the second reader.
+	if !reads && len(order) == readers && xxhash.Sum64String(self)%readers == 1 {
+		slices.Reverse(order)
+	}
+	return order, reads
+}
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	r.take(func(now time.Time) []Change { return r.Book.Apply(now, batch) })
+	r.take(batch.Age, func(now time.Time) []Change { return r.Book.Apply(now, batch) })
 	return nil
 }
 
@@ -94,16 +94,16 @@
 	if err != nil {
 		return err
 	}
-	r.take(func(now time.Time) []Change { return r.Book.Replace(now, batch) })
+	r.take(batch.Age, func(now time.Time) []Change { return r.Book.Replace(now, batch) })
 	return nil
 }
 
-// take applies an answer of the source.
-func (r *Reader) take(apply func(now time.Time) []Change) {
+// take applies an answer of the source, which heard the store age ago.
+func (r *Reader) take(age time.Duration, apply func(now time.Time) []Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Timer.Now()
-	r.noteHeard(now)
+	r.noteHeard(now.Add(-age))
 	changes := apply(now)
 	for _, c := range changes {
 		r.logChange(c)
@@ -113,6 +113,49 @@
 	}
 }
 
+// all returns everything, for another host.
+func (r *Reader) all() (Batch, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Book.Revision() == 0 {
+		return Batch{}, errors.New("nothing is known yet")
+	}
+	batch := r.Book.All()
+	batch.Age = r.Timer.Now().Sub(r.heard)
+	return batch, nil
+}
+
+// after returns the changes after a revision for another host. It waits for
+// one at most for the given time.
+func (r *Reader) after(ctx context.Context, revision uint64, wait time.Duration) (Batch, error) {
+	over := r.Timer.After(wait)
+	defer over.Stop()
+	for waited := false; ; {
+		batch, changed, err := r.changes(revision)
+		if err != nil || len(batch.Items) > 0 || waited {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			waited = true
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (r *Reader) changes(revision uint64) (Batch, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch, err := r.Book.After(revision)
+	batch.Age = r.Timer.Now().Sub(r.heard)
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return batch, r.changed, err
+}
+
 // refresh makes a new view visible, and has the next one made when a lapsed
 // target is given up. The caller holds mu.
 func (r *Reader) refresh(now time.Time) {
@@ -139,12 +182,14 @@
 	})
 }
 
-func (r *Reader) noteHeard(now time.Time) {
+func (r *Reader) noteHeard(at time.Time) {
 	if r.lost {
-		r.Log.WithField("after", now.Sub(r.heard).Round(time.Millisecond).String()).Info("the store answers again")
+		r.Log.WithField("after", at.Sub(r.heard).Round(time.Millisecond).String()).Info("entries are read again")
 		r.lost = false
 	}
-	r.heard = now
+	if at.After(r.heard) {
+		r.heard = at
+	}
 }
 
 func (r *Reader) noteLost(err error) {
@@ -152,7 +197,7 @@
 	defer r.mu.Unlock()
 	if !r.lost {
 		r.lost = true
-		r.Log.WithError(err).WithField("revision", r.Book.Revision()).Warn("the store does not answer")
+		r.Log.WithError(err).WithField("revision", r.Book.Revision()).Warn("entries cannot be read")
 	}
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -27,6 +27,7 @@
 type Batch struct {
 	Items    []Item
 	Revision uint64
+	Age      time.Duration // since the store was heard; zero if it gave the batch itself
 }
 
 // ErrHistory says that the changes after a revision are no longer known, so
--- /dev/null
+++ b/registry/selector_test.go
@@ -0,0 +1,115 @@
+package registry_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore/registry"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// source is a source whose behaviour a test sets.
+type source struct {
+	name  string
+	asked *[]string
+	err   error
+	age   time.Duration
+}
+
+func (s *source) List(context.Context) (registry.Batch, error) {
+	*s.asked = append(*s.asked, s.name)
+	return registry.Batch{Age: s.age}, s.err
+}
+
+func (s *source) Watch(ctx context.Context, _ uint64) (registry.Batch, error) { return s.List(ctx) }
+
+// selection is a selector over a store and two hosts.
+type selection struct {
+	selector *registry.Selector
+	sources  map[string]*source
+	asked    []string
+}
+
+func newSelection(reads bool) *selection {
+	s := &selection{sources: make(map[string]*source)}
+	for _, name := range []string{"store", "h1", "h2"} {
+		s.sources[name] = &source{name: name, asked: &s.asked}
+	}
+	s.selector = &registry.Selector{
+		Store: s.sources["store"],
+		Dial:  func(address string) registry.Source { return s.sources[address] },
+		Order: func() ([]string, bool) { return []string{"h1", "h2"}, reads },
+		Timer: &timer.Service{}, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	}
+	return s
+}
+
+// watch makes calls, and returns which sources they went to.
+func (s *selection) watch(t *testing.T, calls int) []string {
+	t.Helper()
+	s.asked = nil
+	for range calls {
+		_, _ = s.selector.Watch(t.Context(), 1)
+	}
+	return s.asked
+}
+
+func wantAsked(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("got calls to %v, want %v", got, want)
+	}
+}
+
+func TestReaderAsksTheStore(t *testing.T) {
+	t.Parallel()
+	wantAsked(t, newSelection(true).watch(t, 2), "store", "store")
+}
+
+func TestOthersAskAReader(t *testing.T) {
+	t.Parallel()
+	wantAsked(t, newSelection(false).watch(t, 2), "h1", "h1")
+}
+
+// TestStoreTurnsAReaderAway has the store serve others but not this host.
+func TestStoreTurnsAReaderAway(t *testing.T) {
+	t.Parallel()
+	s := newSelection(true)
+	s.sources["store"].err = errors.New("turned away")
+	wantAsked(t, s.watch(t, 3), "store", "h1", "h1")
+}
+
+// TestReadersAreLost has both readers fail, the second one by knowing nothing
+// new: the host asks the store itself.
+func TestReadersAreLost(t *testing.T) {
+	t.Parallel()
+	s := newSelection(false)
+	s.sources["h1"].err = errors.New("lost")
+	s.sources["h2"].age = 10 * time.Second
+	wantAsked(t, s.watch(t, 4), "h1", "h2", "store", "store")
+}
+
+// TestForgottenHistoryIsNoFailure stays with a source that has to be listed.
+func TestForgottenHistoryIsNoFailure(t *testing.T) {
+	t.Parallel()
+	s := newSelection(false)
+	s.sources["h1"].err = registry.ErrHistory
+	wantAsked(t, s.watch(t, 2), "h1", "h1")
+}
+
+// TestSourceIsTriedAgain has a source that failed come back.
+func TestSourceIsTriedAgain(t *testing.T) {
+	t.Parallel()
+	s := newSelection(true)
+	s.sources["store"].err = errors.New("down")
+	s.watch(t, 2)
+	s.sources["store"].err = nil
+	time.Sleep(550 * time.Millisecond)
+	wantAsked(t, s.watch(t, 1), "store")
+}
--- a/relay/link.go
+++ b/relay/link.go
@@ -139,7 +139,7 @@
 // dial opens the connection; batches go elsewhere meanwhile.
 func (l *Link) dial() {
 	dialer := websocket.Dialer{
-		NetDialContext:   (&net.Dialer{Timeout: dialTimeout, Control: control}).DialContext,
+		NetDialContext:   (&net.Dialer{Timeout: dialTimeout, Control: Control}).DialContext,
 		HandshakeTimeout: dialTimeout,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*dialTimeout)
@@ -266,9 +266,9 @@
 	return magnoliashore.Step(socket.WriteMessage(websocket.BinaryMessage, data), "send", socket.RemoteAddr().String())
 }
 
-// control makes the kernel give up a connection whose peer does not
+// Control makes the kernel give up a connection whose peer does not
 // acknowledge, as one behind a network partition.
-func control(_, _ string, raw syscall.RawConn) error {
+func Control(_, _ string, raw syscall.RawConn) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
