--- a/gateway/host.go
+++ b/gateway/host.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,9 @@
 
 	settings atomic.Pointer[Settings] // in force now
 
+	joined   chan struct{} // closed when another host has been found
+	joinOnce sync.Once
+
 	metrics *Metrics
 	reader  *registry.Reader
 	members *membership.Node
@@ -120,12 +124,13 @@
 			Self: self, Seeds: s.Seeds, Config: membership.Times(),
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
-		Timer: h.Timer, Log: h.Log, OnChange: h.hosts.update,
+		Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
 	}
+	h.joined = make(chan struct{})
 	lapse := min(time.Duration(lapseShare*float64(s.Drain)), longestLapse)
 	h.reader = &registry.Reader{
 		Book:   &registry.Book{Decoder: h.Decoder, Lapse: lapse},
-		Source: h.selector(), Timer: h.Timer, Log: h.Log, OnChange: h.applied,
+		Source: h.selector(), Timer: h.Timer, Log: h.Log, Joined: h.joined, OnChange: h.applied,
 	}
 	h.engine = &Engine{
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.metrics,
@@ -140,6 +145,14 @@
 	}}
 }
 
+// membersChanged takes the members that run, this host first.
+func (h *Host) membersChanged(members []membership.Member) {
+	h.hosts.update(members)
+	if len(members) > 1 {
+		h.joinOnce.Do(func() { close(h.joined) })
+	}
+}
+
 // selector returns the source of entries: the store, or hosts that read it.
 func (h *Host) selector() registry.Source {
 	client := registry.NewPeerClient(relay.Control)
--- a/membership/core.go
+++ b/membership/core.go
@@ -14,7 +14,7 @@
 	newsRoom    = 8  // members in one datagram; keeps it below 1,200 bytes
 	spread      = 3  // times log2 of the hosts that a piece of news is sent
 	freezeTicks = 4  // ticks missed in a row that mean this process was suspended
-	joinEvery   = 5  // ticks between two messages to a seed or a lost host
+	joinEvery   = 5  // ticks between two messages to a seed or a lost host; a host that is alone sends one each tick
 	farewells   = 16 // hosts told directly that this one leaves
 )
 
@@ -108,7 +108,7 @@
 		c.probes = append(c.probes, probe{number: p.Message.Number, peer: next, sent: now})
 		out = append(out, p)
 	}
-	if c.ticks%joinEvery == 1 {
+	if c.ticks%joinEvery == 1 || c.alone() {
 		out = append(out, c.rejoin()...)
 	}
 	return out
@@ -243,6 +243,16 @@
 	return out
 }
 
+// alone reports whether no other host is known to run.
+func (c *Core) alone() bool {
+	for _, p := range c.peers {
+		if p.member.Runs() {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) join(to string) Packet {
 	p := c.ping(to)
 	p.Message.Kind = Join
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	joinWait   = time.Second            // for other hosts at the start; two rounds of the membership
+	gather     = 100 * time.Millisecond // for which changes add up before the next call
 	firstRetry = 100 * time.Millisecond // after a failed call to the source
 	lastRetry  = 800 * time.Millisecond // leaves time to apply a change within its bound
 )
@@ -25,6 +27,9 @@
 	Source Source
 	Timer  *timer.Service
 	Log    log.Interface
+	// Joined ends when this host has found others, so that it need not read
+	// the store itself; nil if there is nothing to wait for.
+	Joined <-chan struct{}
 	// OnChange is called with each new view, from the reader's goroutines;
 	// may be nil.
 	OnChange func(view *catalog.View)
@@ -47,28 +52,48 @@
 
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
+	r.awaitOthers(ctx)
 	retry := firstRetry
 	for ctx.Err() == nil {
 		err := r.step(ctx)
 		if err == nil {
 			retry = firstRetry
+			r.pause(ctx, gather)
 			continue
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
 		r.noteLost(err)
-		wait := r.Timer.After(timer.Jitter(retry))
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-		}
-		wait.Stop()
+		r.pause(ctx, timer.Jitter(retry))
 		retry = min(2*retry, lastRetry)
 	}
 	return nil
 }
 
+// awaitOthers waits until other hosts are found, or for joinWait.
+func (r *Reader) awaitOthers(ctx context.Context) {
+	if r.Joined == nil {
+		return
+	}
+	wait := r.Timer.After(joinWait)
+	defer wait.Stop()
+	select {
+	case <-r.Joined:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Reader) pause(ctx context.Context, length time.Duration) {
+	wait := r.Timer.After(length)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
 // step makes one call to the source.
 func (r *Reader) step(ctx context.Context) error {
 	r.mu.Lock()
