fix(gateway): a shard whose attempt was not sent is asked again without the retry budget

Ruled out: refusals by targets; late configuration (in force 50 ms after the start). Change: only attempts that may have reached a target count as repeats.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -54,10 +54,19 @@
 	ticket balance.Ticket
 }
 
+// reason is why a service is asked.
+type reason int
+
+// The reasons to ask a service.
+const (
+	first  reason = iota // it is asked for the first time
+	unsent               // no attempt has reached it yet
+	extra                // it may have got the request before; that needs the retry budget
+)
+
 // pick chooses the target of an attempt at a service and notes that it is
-// sent. extra says that the service got the request before; it then needs the
-// retry budget. It returns false if there is no target or no budget.
-func (e *Engine) pick(q *query, service magnoliashore.ServiceName, not []magnoliashore.TargetID, extra bool) (attempt, bool) {
+// sent. It returns false if there is no target or no budget.
+func (e *Engine) pick(q *query, service magnoliashore.ServiceName, not []magnoliashore.TargetID, why reason) (attempt, bool) {
 	targets := e.View().Targets(service)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -67,11 +76,11 @@
 		return attempt{}, false
 	}
 	e.Budget.Hosts = e.Hosts.Count()
-	if extra && !e.Budget.Take(now, service) {
+	if why == extra && !e.Budget.Take(now, service) {
 		e.Metrics.overBudget.Inc()
 		return attempt{}, false
 	}
-	if !extra {
+	if why == first {
 		e.Budget.Request(now, service)
 	}
 	return attempt{target: t, ticket: e.Book.Start(now, t, q.kind)}, true
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -62,6 +62,7 @@
 	ctx     context.Context // ends the attempts
 	events  chan event
 	tried   [][]magnoliashore.TargetID // by shard
+	reached []bool                     // by shard: a failed attempt has reached its target
 	batches []*batch
 	pieces  []piece
 	fresh   int            // pieces not yet reported
@@ -78,8 +79,9 @@
 	sends, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r := &run{
 		engine: e, query: q, race: scatter.NewRace(q.terms, now), ctx: sends,
-		events: make(chan event, len(q.services)*(q.terms.Attempts+eventsPerBatch)),
-		tried:  make([][]magnoliashore.TargetID, len(q.services)),
+		events:  make(chan event, len(q.services)*(q.terms.Attempts+eventsPerBatch)),
+		tried:   make([][]magnoliashore.TargetID, len(q.services)),
+		reached: make([]bool, len(q.services)),
 	}
 	r.dispatch()
 	return r, cancel
@@ -93,7 +95,7 @@
 func (r *run) dispatch() {
 	if !r.query.delegate {
 		for i := range r.query.services {
-			r.ask(i, false)
+			r.ask(i, first)
 		}
 		return
 	}
@@ -104,7 +106,7 @@
 		}
 	}
 	for _, i := range routing.Direct {
-		r.ask(i, false)
+		r.ask(i, first)
 	}
 }
 
@@ -128,16 +130,16 @@
 	return replicas
 }
 
-// ask sends a shard's request to a target. extra says that it was sent before.
-func (r *run) ask(i int, extra bool) bool {
-	a, ok := r.engine.pick(r.query, r.query.services[i], r.tried[i], extra)
+// ask sends a shard's request to a target.
+func (r *run) ask(i int, why reason) bool {
+	a, ok := r.engine.pick(r.query, r.query.services[i], r.tried[i], why)
 	if !ok {
 		r.race.Lose(i)
 		return false
 	}
 	r.tried[i] = append(r.tried[i], a.target.ID())
 	r.race.Sent(r.engine.Timer.Now(), i)
-	if extra {
+	if why == extra {
 		r.extra++
 	}
 	go func() {
@@ -205,7 +207,7 @@
 	for {
 		now := r.engine.Timer.Now()
 		for _, i := range r.race.Late(now) {
-			if !r.ask(i, true) {
+			if !r.ask(i, extra) {
 				r.race.Hold(now, i)
 			}
 		}
@@ -271,7 +273,12 @@
 	if result.Status != 0 && !result.Reply.NotRun {
 		r.last = &result
 	}
-	if r.race.Missed(i, !result.NotRun()) && r.ask(i, true) {
+	r.reached[i] = r.reached[i] || result.Sent
+	why := unsent
+	if r.reached[i] || r.race.Open(i) > 1 {
+		why = extra
+	}
+	if r.race.Missed(i, !result.NotRun()) && r.ask(i, why) {
 		return
 	}
 	r.race.Lose(i)
--- a/scatter/race.go
+++ b/scatter/race.go
@@ -183,5 +183,8 @@
 // Missing returns how many shards have no part in.
 func (r *Race) Missing() int { return r.terms.Shards - r.in }
 
+// Open returns how many attempts at a shard have no outcome yet.
+func (r *Race) Open(i int) int { return r.shards[i].open }
+
 // IsIn reports whether the part of a shard is in.
 func (r *Race) IsIn(i int) bool { return r.shards[i].in }
