feat(admit): a gate at the root refuses whole queries in overload, the most urgent last

Ruled out: too few connections (limit 4 a host and target, as the cap allows); the retry budget (failures remain without repeats). Change: queries of a group share a limit a host that falls when half of the parts come late or targets refuse, and grows while queries press on it; its lowest value is the host's share of the slots. Queries beyond it wait for a fifth of the objective, then are refused whole with 503 and a time to come back that spreads the returns at the rate of answers.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -50,6 +50,8 @@
 		parts = append(parts, p.records)
 	}
 	r.fresh = 0
+	b.Half, b.Refused = r.halfTook(r.engine.Timer.Now()), r.refused
+	r.refused = 0
 	b.Records = scatter.Best(r.query.best, parts)
 	b.Ran = r.race.Ran()
 	return b
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -33,6 +34,8 @@
 	Log     log.Interface
 	Leaving func() bool // this host is about to stop
 	Refuse  func() bool // this host is so close to its stop that requests are to go elsewhere
+
+	gates *gates
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -73,9 +76,22 @@
 		h.refuse(w, r, soon, "too few shards have a target")
 		return
 	}
+	admitted, after, ok := h.admit(r.Context(), q, route)
+	if r.Context().Err() != nil {
+		if ok {
+			admitted.leave(false)
+		}
+		h.Engine.Metrics.abandoned.Inc()
+		return
+	}
+	if !ok {
+		h.refuse(w, r, after, "targets have too much work: "+admitted.String())
+		return
+	}
 	run, cancel := h.Engine.start(r.Context(), q)
 	verdict, ok := run.wait(r.Context())
 	run.end(cancel, !ok)
+	admitted.leave(ok && run.overloaded(h.Engine.Timer.Now(), route.Objective()))
 	took := h.Engine.Timer.Now().Sub(began)
 	if !ok {
 		h.Engine.Metrics.abandoned.Inc()
@@ -87,6 +103,16 @@
 	h.logRun(r, route, run, strconv.Itoa(status), took)
 }
 
+// admit waits until a query may run. It returns false, and when the caller is
+// to come back, if it may not.
+func (h *Handler) admit(ctx context.Context, q *query, route *catalog.Route) (pass, time.Duration, bool) {
+	key := string(q.services[0])
+	size := sizeOf(h.Engine.View(), q.services, h.Engine.Hosts.Count())
+	wait := time.Duration(gateWait * float64(route.Objective()))
+	most := time.Duration(returnShare * float64(q.terms.Timeout))
+	return h.gates.enter(ctx, key, size, route.Priority(), wait, most)
+}
+
 // query returns the query that a request makes.
 func (h *Handler) query(r *http.Request, route *catalog.Route, began time.Time, body []byte) *query {
 	terms := h.Dialect.Caller(r.Header)
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -139,7 +139,7 @@
 		Budget: &retry.Budget{Limit: s.Retries},
 	}
 	h.front = &front{handler: &Handler{
-		Engine: h.engine, Dialect: h.Dialect, Dealer: &balance.Dealer{}, Log: h.Log,
+		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Dealer: &balance.Dealer{}, Log: h.Log,
 		Leaving: func() bool { return h.stopping() > 0 },
 		Refuse:  func() bool { return h.stopping() > refuseAfter },
 	}}
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
@@ -70,7 +72,13 @@
 	last    *origin.Result // the latest answer that is not a part
 	whole   *origin.Result // the answer of a query at one service
 	extra   int            // hedges and repeats
-	refused int            // attempts that a target refused
+	refused int            // attempts that a target or a full queue refused
+
+	began     time.Time
+	direct    int           // shards that are asked from here
+	directIn  int           // of those, with a part in
+	half      time.Duration // after which half of them were in; zero if they are not
+	batchHalf time.Duration // the longest such time of a batch
 }
 
 // start begins a query. finish has to be called when it is over.
@@ -82,6 +90,7 @@
 		events:  make(chan event, len(q.services)*(q.terms.Attempts+eventsPerBatch)),
 		tried:   make([][]magnoliashore.TargetID, len(q.services)),
 		reached: make([]bool, len(q.services)),
+		began:   now,
 	}
 	r.dispatch()
 	return r, cancel
@@ -139,8 +148,12 @@
 	}
 	r.tried[i] = append(r.tried[i], a.target.ID())
 	r.race.Sent(r.engine.Timer.Now(), i)
-	if why == extra {
+	switch why {
+	case first:
+		r.direct++
+	case extra:
 		r.extra++
+	case unsent:
 	}
 	go func() {
 		result := r.engine.send(r.ctx, r.query, a)
@@ -267,7 +280,7 @@
 		r.takePart(i, result)
 		return
 	}
-	if result.Reply.NotRun {
+	if result.Reply.NotRun || errors.Is(result.Err, origin.ErrRoom) {
 		r.refused++
 	}
 	if result.Status != 0 && !result.Reply.NotRun {
@@ -299,6 +312,10 @@
 	if !r.race.In(i) {
 		return
 	}
+	r.directIn++
+	if r.half == 0 && 2*r.directIn >= r.direct {
+		r.half = r.engine.Timer.Now().Sub(r.began)
+	}
 	if !r.query.scatters {
 		r.whole = &result
 		return
@@ -309,6 +326,8 @@
 
 func (r *run) takeBundle(ev event) {
 	b := ev.batch
+	r.batchHalf = max(r.batchHalf, ev.bundle.Half)
+	r.refused += ev.bundle.Refused
 	if len(ev.bundle.Shards) > 0 && b.unseen(ev.bundle.Shards) {
 		p := piece{proofs: ev.bundle.Proofs, records: ev.bundle.Records}
 		for _, at := range ev.bundle.Shards {
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -52,6 +52,8 @@
 	Failed  []int
 	Ran     bool
 	Last    bool
+	Half    int64 // microseconds
+	Refused int
 }
 
 func encode(f wireFrame) ([]byte, error) {
@@ -100,6 +102,7 @@
 func encodeBundle(b Bundle) *wireBundle {
 	return &wireBundle{
 		Shards: b.Shards, Proofs: b.Proofs, Records: b.Records, Failed: b.Failed, Ran: b.Ran, Last: b.Last,
+		Half: b.Half.Microseconds(), Refused: b.Refused,
 	}
 }
 
@@ -117,5 +120,6 @@
 	}
 	return Bundle{
 		Shards: w.Shards, Proofs: w.Proofs, Records: w.Records, Failed: w.Failed, Ran: w.Ran, Last: w.Last,
+		Half: micros(w.Half), Refused: w.Refused,
 	}, nil
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -34,7 +34,9 @@
 	Shards  []int // indexes in Ask.Shards
 	Proofs  []string
 	Records []byte
-	Failed  []int // shards that will give no part
-	Ran     bool  // an attempt at a failed shard may have run
-	Last    bool  // nothing follows
+	Failed  []int         // shards that will give no part
+	Ran     bool          // an attempt at a failed shard may have run
+	Last    bool          // nothing follows
+	Half    time.Duration // after which half of the shards of the batch were in
+	Refused int           // attempts that were refused for want of room
 }
