feat: cold targets within their rate over all hosts; a log that never blocks

Cold targets get what the services state, shared by rank where it is less than one request a second for each host (TestColdTargetBearsAllHosts). Log lines pass a bounded queue and a rate, and the line after a gap says how many were dropped.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -7,12 +7,12 @@
 	"syscall"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/logfmt"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/gateway"
+	"github.com/magnoliashore/magnoliashore/logs"
 	"github.com/magnoliashore/magnoliashore/platform"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
@@ -52,16 +52,30 @@
 	if err != nil {
 		return errors.Wrapf(err, "reading the log level %q", c.opts.level)
 	}
+	clock := &timer.Service{}
+	handler := logs.New(os.Stdout, clock)
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		handler.Run(writing)
+	}()
+	defer func() {
+		stop()
+		<-written
+	}()
 	host := &gateway.Host{
 		Settings:  s,
 		Dialect:   platform.Dialect{},
 		Source:    platform.NewStore(s.Store),
 		Decoder:   platform.Decoder{},
-		Timer:     &timer.Service{},
-		Log:       (&log.Logger{Handler: logfmt.New(os.Stdout), Level: level}).WithField("host", string(s.Host)),
+		Timer:     clock,
+		Log:       (&log.Logger{Handler: handler, Level: level}).WithField("host", string(s.Host)),
+		Metrics:   gateway.NewMetrics(),
 		Directory: platform.Directory,
 		Ready:     platform.Ready,
 	}
+	handler.Dropped = host.Metrics.LogDropped
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	defer signal.Stop(reloads)
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/admit"
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
@@ -29,6 +31,9 @@
 	Pick(zone magnoliashore.ZoneName) (*relay.Link, bool)
 	// Zones returns the zones for which Pick finds a host.
 	Zones() map[magnoliashore.ZoneName]bool
+	// Rank returns the rank of this host among those that run, which differs
+	// from target to target.
+	Rank(id magnoliashore.TargetID) int
 	// Count returns how many hosts run, this one included.
 	Count() int
 }
@@ -46,6 +51,7 @@
 	mu     sync.Mutex // guards the decisions below
 	Book   *balance.Book
 	Budget *retry.Budget
+	Cold   *admit.Cold
 }
 
 // attempt is one send to a target.
@@ -67,11 +73,12 @@
 // pick chooses the target of an attempt at a service and notes that it is
 // sent. It returns false if there is no target or no budget.
 func (e *Engine) pick(q *query, service magnoliashore.ServiceName, not []magnoliashore.TargetID, why reason) (attempt, bool) {
-	targets := e.View().Targets(service)
+	view := e.View()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
-	t := e.Book.Choose(now, targets, q.kind, not)
+	rate := coldRate(view, service)
+	t := e.Book.Choose(now, e.bearing(now, view.Targets(service), rate), q.kind, not)
 	if t == nil {
 		return attempt{}, false
 	}
@@ -80,12 +87,40 @@
 		e.Metrics.overBudget.Inc()
 		return attempt{}, false
 	}
+	if cold(now, t, rate) {
+		e.Cold.Take(t.ID())
+	}
 	if why == first {
 		e.Budget.Request(now, service)
 	}
 	return attempt{target: t, ticket: e.Book.Start(now, t, q.kind)}, true
 }
 
+// coldRate returns how many requests a second a cold target of a service
+// bears; zero if that is not stated.
+func coldRate(view *catalog.View, service magnoliashore.ServiceName) float64 {
+	if view.Config() == nil {
+		return 0
+	}
+	return view.Config().Service(service).ColdRate()
+}
+
+// cold reports whether a target is held to a rate.
+func cold(now time.Time, t *catalog.Target, rate float64) bool {
+	return rate > 0 && now.Before(t.ColdUntil())
+}
+
+// bearing returns the targets that bear one more request. The caller holds mu.
+func (e *Engine) bearing(now time.Time, targets []*catalog.Target, rate float64) []*catalog.Target {
+	bears := func(t *catalog.Target) bool {
+		return !cold(now, t, rate) || e.Cold.Allows(now, t.ID(), rate, admit.Sharing{Hosts: e.Hosts.Count(), Rank: e.Hosts.Rank(t.ID())})
+	}
+	if !slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !bears(t) }) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool { return !bears(t) })
+}
+
 // send makes an attempt and notes what it tells of the target.
 func (e *Engine) send(ctx context.Context, q *query, a attempt) origin.Result {
 	limit := e.connections(a.target)
@@ -136,11 +171,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.Book.Retain(view.Has)
+	e.Cold.Retain(view.Has)
 }
 
-// limit puts a limit on repeats in force.
-func (e *Engine) limit(l retry.Limit) {
+// limit puts limits on repeats and on cold targets in force.
+func (e *Engine) limit(retries retry.Limit, cold admit.ColdLimit) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.Budget.Limit = l
+	e.Budget.Limit = retries
+	e.Cold.Limit = cold
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -247,6 +247,8 @@
 
 // logRun writes the line of a request that was run.
 func (h *Handler) logRun(r *http.Request, route *catalog.Route, run *run, outcome string, took time.Duration) {
+	h.Engine.Metrics.extra.Add(run.extra)
+	h.Engine.Metrics.batches.Add(len(run.batches))
 	h.Log.WithFields(log.Fields{
 		"request": h.Dialect.Caller(r.Header).ID, "route": route.Name(),
 		"version": uint64(h.Engine.View().Config().Version()),
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/admit"
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/membership"
@@ -44,6 +45,7 @@
 	Decoder  registry.Decoder
 	Timer    *timer.Service
 	Log      log.Interface
+	Metrics  *Metrics
 	// Signals asks for Load to be called, which reads the settings again.
 	Signals <-chan os.Signal
 	Load    func() (Settings, error)
@@ -57,7 +59,6 @@
 	joined   chan struct{} // closed when another host has been found
 	joinOnce sync.Once
 
-	metrics *Metrics
 	reader  *registry.Reader
 	members *membership.Node
 	hosts   *hosts
@@ -109,7 +110,6 @@
 	s := h.Settings
 	h.settings.Store(&s)
 	h.began = h.Timer.Now()
-	h.metrics = NewMetrics()
 	self := membership.MemberSpec{
 		Host: s.Host, Zone: s.Zone, Peer: s.Peer, Caller: s.Caller,
 		Incarnation: magnoliashore.Incarnation(h.began.UnixMilli()),
@@ -133,10 +133,11 @@
 		Source: h.selector(), Timer: h.Timer, Log: h.Log, Joined: h.joined, OnChange: h.applied,
 	}
 	h.engine = &Engine{
-		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.metrics,
+		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.Metrics,
 		Pool:   &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswer},
 		Book:   &balance.Book{Zone: s.Zone},
 		Budget: &retry.Budget{Limit: s.Retries},
+		Cold:   &admit.Cold{Limit: s.Cold},
 	}
 	h.front = &front{handler: &Handler{
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Dealer: &balance.Dealer{}, Log: h.Log,
@@ -201,7 +202,7 @@
 	peers.Handle(registry.Path, &registry.Server{Reader: h.reader})
 	handlers := []http.Handler{peers, h.Ready(h.ready), h.Directory(h.addresses)}
 	if h.Settings.Metrics != "" {
-		handlers = append(handlers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { h.metrics.Write(w) }))
+		handlers = append(handlers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { h.Metrics.Write(w) }))
 	}
 	return handlers
 }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -101,6 +101,20 @@
 	return true
 }
 
+// Rank returns the rank of this host for a target.
+func (h *hosts) Rank(id magnoliashore.TargetID) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	own := xxhash.Sum64String(string(id) + h.self.Peer())
+	rank := 0
+	for _, m := range h.members {
+		if xxhash.Sum64String(string(id)+m.Peer()) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Count returns how many hosts share the limits, this one included: those
 // that run, and those that ran a short time ago.
 func (h *hosts) Count() int {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,5 +50,8 @@
 	}
 }
 
+// LogDropped counts a log line that was dropped.
+func (m *Metrics) LogDropped() { m.logDropped.Inc() }
+
 // Write writes the metrics in the text format of Prometheus.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -55,7 +55,7 @@
 		s.Metrics, s.Store, s.Zone = old.Metrics, old.Store, old.Zone
 	}
 	h.settings.Store(&s)
-	h.engine.limit(s.Retries)
+	h.engine.limit(s.Retries, s.Cold)
 	h.members.Reseed(s.Seeds)
 	h.Log.WithField("seeds", s.Seeds).Info("reloaded")
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/admit"
 	"github.com/magnoliashore/magnoliashore/retry"
 )
 
@@ -25,6 +26,7 @@
 	Drain     time.Duration // for which a leaving target still takes requests
 	Refresh   time.Duration // longest time that callers may keep addresses
 	Retries   retry.Limit
+	Cold      admit.ColdLimit
 }
 
 // Check returns what is wrong with the settings, nil if nothing.
