--- a/cmd/root.go
+++ b/cmd/root.go
@@ -40,6 +40,7 @@
 	}
 	root.cmd.AddCommand(
 		newCheckCmd().cmd,
+		newExplainCmd().cmd,
 		newGatewayCmd().cmd,
 		newInitCmd().cmd,
 		newLoadCmd().cmd,
--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/apex/log"
 
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
@@ -28,6 +31,7 @@
 		verdict, ok := r.wait(ctx)
 		if !ok {
 			r.end(cancel, true)
+			e.logBatch(ask, r, "not needed any more")
 			return
 		}
 		bundle := r.bundle()
@@ -35,11 +39,25 @@
 		reply(bundle)
 		if bundle.Last {
 			r.end(cancel, false)
+			e.logBatch(ask, r, "all shards have an outcome")
 			return
 		}
 	}
 }
 
+// logBatch writes the line of a batch of which the root does not have all
+// parts. Batches without a fault are in the root's line.
+func (e *Engine) logBatch(ask relay.Ask, r *run, why string) {
+	if r.race.Missing() == 0 {
+		return
+	}
+	e.Log.WithFields(log.Fields{
+		"request": ask.ID, "shards": len(ask.Shards), "missing": r.race.Missing(), "extra": r.extra,
+		"refused": r.refused, "why": r.why(), "outcome": why,
+		"took": e.Timer.Now().Sub(r.began).Round(100 * time.Microsecond).String(),
+	}).Info("batch done")
+}
+
 // bundle merges the pieces that were not reported yet.
 func (r *run) bundle() relay.Bundle {
 	var b relay.Bundle
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -32,8 +32,9 @@
 	Dialect magnoliashore.Dialect
 	Dealer  *balance.Dealer
 	Log     log.Interface
-	Leaving func() bool // this host is about to stop
-	Refuse  func() bool // this host is so close to its stop that requests are to go elsewhere
+	Leaving func() bool          // this host is about to stop
+	Age     func() time.Duration // since the store was heard
+	Refuse  func() bool          // this host is so close to its stop that requests are to go elsewhere
 
 	gates *gates
 }
@@ -253,11 +254,35 @@
 		"request": h.Dialect.Caller(r.Header).ID, "route": route.Name(),
 		"version": uint64(h.Engine.View().Config().Version()),
 		"shards":  len(run.query.services), "missing": run.race.Missing(), "batches": len(run.batches),
-		"extra": run.extra, "refused": run.refused, "targets": run.targets(),
-		"took": took.Round(100 * time.Microsecond).String(), "outcome": outcome,
+		"extra": run.extra, "refused": run.refused, "targets": run.targets(), "why": run.why(),
+		"age": h.Age().Round(time.Millisecond).String(), "took": took.Round(100 * time.Microsecond).String(),
+		"outcome": outcome,
 	}).Info("request done")
 }
 
+// why tells of the shards without a part, or of the target asked last, how
+// the latest attempt failed.
+func (r *run) why() string {
+	var whys []string
+	for i, service := range r.query.services {
+		if r.race.IsIn(i) {
+			continue
+		}
+		if len(whys) == mostWhys {
+			return strings.Join(append(whys, "and others"), "; ")
+		}
+		if fault, ok := r.faults[i]; ok {
+			whys = append(whys, fault)
+		} else {
+			whys = append(whys, string(service)+" has not answered")
+		}
+	}
+	return strings.Join(whys, "; ")
+}
+
+// mostWhys is how many shards a log line gives the fault of.
+const mostWhys = 3
+
 // targets names the targets asked for a query at one service, and those of
 // the shards without a part for one over shards.
 func (r *run) targets() string {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -141,6 +141,7 @@
 	}
 	h.front = &front{handler: &Handler{
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Dealer: &balance.Dealer{}, Log: h.Log,
+		Age:     h.reader.Age,
 		Leaving: func() bool { return h.stopping() > 0 },
 		Refuse:  func() bool { return h.stopping() > refuseAfter },
 	}}
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,6 +75,8 @@
 	extra   int            // hedges and repeats
 	refused int            // attempts that a target or a full queue refused
 
+	faults map[int]string // by shard: how its latest attempt failed
+
 	began     time.Time
 	direct    int           // shards that are asked from here
 	directIn  int           // of those, with a part in
@@ -91,6 +94,7 @@
 		tried:   make([][]magnoliashore.TargetID, len(q.services)),
 		reached: make([]bool, len(q.services)),
 		began:   now,
+		faults:  make(map[int]string),
 	}
 	r.dispatch()
 	return r, cancel
@@ -286,6 +290,7 @@
 	if result.Status != 0 && !result.Reply.NotRun {
 		r.last = &result
 	}
+	r.fault(i, result)
 	r.reached[i] = r.reached[i] || result.Sent
 	why := unsent
 	if r.reached[i] || r.race.Open(i) > 1 {
@@ -297,6 +302,22 @@
 	r.race.Lose(i)
 }
 
+// fault notes how an attempt at a shard failed.
+func (r *run) fault(i int, result origin.Result) {
+	target := string(r.query.services[i])
+	if tried := r.tried[i]; len(tried) > 0 {
+		target += " " + string(tried[len(tried)-1])
+	}
+	switch {
+	case result.Status != 0 && result.Reply.NotRun:
+		r.faults[i] = fmt.Sprintf("%s refused with %d", target, result.Status)
+	case result.Status != 0:
+		r.faults[i] = fmt.Sprintf("%s answered %d", target, result.Status)
+	default:
+		r.faults[i] = fmt.Sprintf("%s (sent %t): %v", target, result.Sent, result.Err)
+	}
+}
+
 // useful reports whether an answer ends the search for one.
 func (r *run) useful(result origin.Result) bool {
 	if result.Status == 0 || result.Reply.NotRun {
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -50,6 +50,13 @@
 	return catalog.NewView(nil, nil)
 }
 
+// Age returns how long ago the store was heard.
+func (r *Reader) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Timer.Now().Sub(r.heard)
+}
+
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
 	r.awaitOthers(ctx)
