--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -218,7 +218,9 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, after time.Duration, why string) {
 	h.Engine.Metrics.refused.Inc()
-	h.note(r, "reason", why).WithField("after", after.String()).Info("request refused")
+	h.note(r, "reason", why).WithFields(log.Fields{
+		"after": after.Round(time.Millisecond).String(), "age": h.Age().Round(time.Millisecond).String(),
+	}).Info("request refused")
 	deny(w, http.StatusServiceUnavailable, after)
 }
 
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -216,7 +216,7 @@
 
 func (r *Reader) noteHeard(at time.Time) {
 	if r.lost {
-		r.Log.WithField("after", at.Sub(r.heard).Round(time.Millisecond).String()).Info("entries are read again")
+		r.Log.WithField("revision", r.Book.Revision()).Info("entries are read again")
 		r.lost = false
 	}
 	if at.After(r.heard) {
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -89,7 +89,7 @@
 		}
 	}
 	if best != s.current {
-		s.Log.WithFields(log.Fields{"source": best, "former": s.current}).Info("reading entries from another source")
+		s.Log.WithFields(log.Fields{"from": best, "former": s.current}).Info("reading entries from another source")
 		s.current = best
 	}
 	return best
@@ -110,5 +110,5 @@
 	a := s.avoid[name]
 	wait := min(firstAvoid<<min(a.failures, 10), lastAvoid)
 	s.avoid[name] = avoidance{failures: a.failures + 1, until: s.Timer.Now().Add(wait)}
-	s.Log.WithFields(log.Fields{"source": name, "reason": why, "avoided": wait.String()}).Debug("source of entries failed")
+	s.Log.WithFields(log.Fields{"from": name, "reason": why, "avoided": wait.String()}).Debug("source of entries failed")
 }
