perf(scatter): large batches are split over hosts by their strength

Ruled out: queues at targets (a tenth of their slots in use). Change: a host asks at most 100 shards a core; the rest goes to other hosts of the zone, as do parts of large batches.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -27,10 +28,13 @@
 
 // Hosts are the other hosts that a batch can be sent to.
 type Hosts interface {
-	// Pick returns the link to a host in a zone, and false if there is none.
-	Pick(zone magnoliashore.ZoneName) (*relay.Link, bool)
-	// Zones returns the zones for which Pick finds a host.
-	Zones() map[magnoliashore.ZoneName]bool
+	// Helpers returns the hosts of each zone that take batches, in the order
+	// in which they are to be used.
+	Helpers() map[magnoliashore.ZoneName][]scatter.Helper
+	// Link returns the link to a host, and false if there is none.
+	Link(peer string) (*relay.Link, bool)
+	// Room returns how many shards this host can ask without falling behind.
+	Room() int
 	// Rank returns the rank of this host among those that run, which differs
 	// from target to target.
 	Rank(id magnoliashore.TargetID) int
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -16,16 +16,18 @@
 	"github.com/magnoliashore/magnoliashore/membership"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
 // alone stands for a host without others.
 type alone struct{}
 
-func (alone) Pick(magnoliashore.ZoneName) (*relay.Link, bool) { return nil, false }
-func (alone) Zones() map[magnoliashore.ZoneName]bool          { return nil }
-func (alone) Count() int                                      { return 1 }
-func (alone) Rank(magnoliashore.TargetID) int                 { return 0 }
+func (alone) Helpers() map[magnoliashore.ZoneName][]scatter.Helper { return nil }
+func (alone) Link(string) (*relay.Link, bool)                      { return nil, false }
+func (alone) Room() int                                            { return 100 }
+func (alone) Count() int                                           { return 1 }
+func (alone) Rank(magnoliashore.TargetID) int                      { return 0 }
 
 func engine(view *catalog.View, limit retry.Limit) *Engine {
 	return &Engine{
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -111,7 +111,7 @@
 	h.settings.Store(&s)
 	h.began = h.Timer.Now()
 	self := membership.MemberSpec{
-		Host: s.Host, Zone: s.Zone, Peer: s.Peer, Caller: s.Caller,
+		Host: s.Host, Zone: s.Zone, Peer: s.Peer, Caller: s.Caller, Cores: s.Cores,
 		Incarnation: magnoliashore.Incarnation(h.began.UnixMilli()),
 	}
 	h.hosts = &hosts{
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/membership"
 	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -29,7 +31,6 @@
 	members []membership.Member
 	links   map[string]*relay.Link
 	seen    map[string]time.Time // when a member was last known to run
-	turn    int
 }
 
 var _ Hosts = (*hosts)(nil)
@@ -43,51 +44,89 @@
 		h.seen[m.Peer()] = now
 	}
 	h.members = members
-	known := make(map[string]bool, len(members))
 	for _, m := range members {
-		known[m.Peer()] = true
 		h.seen[m.Peer()] = now
-		if m.Peer() == h.self.Peer() || m.Zone() == h.self.Zone() || h.links[m.Peer()] != nil {
-			continue
+	}
+	linked := linkedTo(members, h.self.Peer())
+	for peer := range linked {
+		if h.links[peer] == nil {
+			h.links[peer] = &relay.Link{Peer: peer, Timer: h.timer, Log: h.log}
+			h.links[peer].Connect()
 		}
-		h.links[m.Peer()] = &relay.Link{Peer: m.Peer(), Timer: h.timer, Log: h.log}
-		h.links[m.Peer()].Connect()
 	}
 	for peer, link := range h.links {
-		if !known[peer] {
+		runs := slices.ContainsFunc(members, func(m membership.Member) bool { return m.Peer() == peer })
+		if !runs {
 			link.Close()
 			delete(h.links, peer)
 		}
 	}
 }
 
-// Pick returns the link to a host in a zone.
-func (h *hosts) Pick(zone magnoliashore.ZoneName) (*relay.Link, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.turn++
-	for i := range h.members {
-		m := h.members[(h.turn+i)%len(h.members)]
-		if m.Zone() == zone && h.ready(m) {
-			return h.links[m.Peer()], true
+// linkedTo returns the hosts that a host keeps links to: some of each zone,
+// other ones for each host.
+func linkedTo(members []membership.Member, self string) map[string]bool {
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b membership.Member) int {
+		return cmp.Compare(xxhash.Sum64String(self+a.Peer()), xxhash.Sum64String(self+b.Peer()))
+	})
+	zones := make(map[magnoliashore.ZoneName]int)
+	linked := make(map[string]bool)
+	for _, m := range ranked {
+		if m.Peer() != self && zones[m.Zone()] < linksAZone {
+			zones[m.Zone()]++
+			linked[m.Peer()] = true
 		}
 	}
-	return nil, false
+	return linked
 }
 
-// Zones returns the zones with a host that takes batches.
-func (h *hosts) Zones() map[magnoliashore.ZoneName]bool {
+// Helpers returns the hosts that take batches, by zone, in random order with
+// the stronger ones more often in front.
+func (h *hosts) Helpers() map[magnoliashore.ZoneName][]scatter.Helper {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	zones := make(map[magnoliashore.ZoneName]bool)
+	helpers := make(map[magnoliashore.ZoneName][]scatter.Helper)
+	keys := make(map[string]float64)
 	for _, m := range h.members {
-		if !zones[m.Zone()] && h.ready(m) {
-			zones[m.Zone()] = true
+		if !h.ready(m) {
+			continue
 		}
+		keys[m.Peer()] = rand.ExpFloat64() / cores(m)
+		helpers[m.Zone()] = append(helpers[m.Zone()], scatter.Helper{Peer: m.Peer(), Room: room(m)})
 	}
-	return zones
+	for _, list := range helpers {
+		slices.SortFunc(list, func(a, b scatter.Helper) int { return cmp.Compare(keys[a.Peer], keys[b.Peer]) })
+	}
+	return helpers
 }
 
+// Link returns the link to a host.
+func (h *hosts) Link(peer string) (*relay.Link, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	link, ok := h.links[peer]
+	return link, ok
+}
+
+// Room returns how many shards this host can ask without falling behind.
+func (h *hosts) Room() int { return room(h.self) }
+
+const (
+	defaultCores = 1.0 // of a host that does not state its processor time
+	shardsACore  = 100 // that one query may ask: a sub-request costs about 0.1 ms, and 10 ms do not delay the answer
+	linksAZone   = 8   // hosts of a zone that this one sends batches to; keeps connections bounded as the fleet grows
+)
+
+func cores(m membership.Member) float64 {
+	if m.Cores() <= 0 {
+		return defaultCores
+	}
+	return m.Cores()
+}
+
+func room(m membership.Member) int { return max(1, int(shardsACore*cores(m))) }
+
 // ready reports whether a member takes batches. The caller holds mu.
 func (h *hosts) ready(m membership.Member) bool {
 	link := h.links[m.Peer()]
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -112,7 +112,14 @@
 		}
 		return
 	}
-	routing := scatter.Plan(r.engine.Zone, r.replicas(), r.engine.Hosts.Zones(), newRandom())
+	hosts := r.engine.Hosts
+	helpers := hosts.Helpers()
+	zones := make(map[magnoliashore.ZoneName]bool, len(helpers))
+	for zone := range helpers {
+		zones[zone] = zone != r.engine.Zone
+	}
+	routing := scatter.Plan(r.engine.Zone, r.replicas(), zones, newRandom())
+	routing = scatter.Spread(routing, r.engine.Zone, hosts.Room(), helpers)
 	for _, b := range routing.Batches {
 		if !r.hand(b) {
 			routing.Direct = append(routing.Direct, b.Shards...)
@@ -168,7 +175,7 @@
 
 // hand sends a batch to a host of its zone.
 func (r *run) hand(b scatter.Batch) bool {
-	link, ok := r.engine.Hosts.Pick(b.Zone)
+	link, ok := r.engine.Hosts.Link(b.Peer)
 	if !ok {
 		return false
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,6 +21,7 @@
 	Peer      string // ip:port for other hosts, over TCP and UDP
 	Metrics   string // ip:port for metrics; empty for none
 	Seeds     []string
+	Cores     float64       // processor time that the host has, in cores; zero if not stated
 	Store     string        // ip:port of the store
 	Grace     time.Duration // from SIGTERM to the end of the process
 	Drain     time.Duration // for which a leaving target still takes requests
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -20,6 +20,7 @@
 	Caller      string
 	Incarnation uint64
 	State       int
+	Cores       float32
 }
 
 type wireMessage struct {
@@ -72,6 +73,7 @@
 	return wireMember{
 		Host: string(m.Host()), Zone: string(m.Zone()), Peer: m.Peer(), Caller: m.Caller(),
 		Incarnation: uint64(m.Incarnation()), State: int(m.State()),
+		Cores: float32(m.Cores()),
 	}
 }
 
@@ -82,5 +84,6 @@
 	return NewMember(MemberSpec{
 		Host: magnoliashore.HostID(w.Host), Zone: magnoliashore.ZoneName(w.Zone), Peer: w.Peer, Caller: w.Caller,
 		Incarnation: magnoliashore.Incarnation(w.Incarnation), State: State(w.State),
+		Cores: float64(w.Cores),
 	}), nil
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -37,6 +37,7 @@
 	Caller      string // ip:port for callers
 	Incarnation magnoliashore.Incarnation
 	State       State
+	Cores       float64 // processor time that it has, in cores
 }
 
 // Member is what is believed of one host.
@@ -65,6 +66,9 @@
 // State returns what is believed.
 func (m Member) State() State { return m.spec.State }
 
+// Cores returns the processor time that the host has, in cores.
+func (m Member) Cores() float64 { return m.spec.Cores }
+
 // Runs reports whether the host is believed to run.
 func (m Member) Runs() bool { return m.spec.State != Dead }
 
--- a/scatter/route.go
+++ b/scatter/route.go
@@ -21,6 +21,7 @@
 // Batch is a set of shards that one host of a zone asks.
 type Batch struct {
 	Zone   magnoliashore.ZoneName
+	Peer   string // the host's address; set by Spread
 	Shards []int
 }
 
--- /dev/null
+++ b/scatter/spread_test.go
@@ -0,0 +1,87 @@
+package scatter_test
+
+import (
+	"testing"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/scatter"
+)
+
+func numbers(from, to int) []int {
+	var out []int
+	for i := from; i < to; i++ {
+		out = append(out, i)
+	}
+	return out
+}
+
+// wantShards checks that every shard is asked exactly once.
+func wantShards(t *testing.T, r scatter.Routing, want int) {
+	t.Helper()
+	seen := make(map[int]bool)
+	lists := [][]int{r.Direct}
+	for _, b := range r.Batches {
+		lists = append(lists, b.Shards)
+	}
+	for _, list := range lists {
+		for _, i := range list {
+			if seen[i] {
+				t.Errorf("shard %d is asked twice, want once", i)
+			}
+			seen[i] = true
+		}
+	}
+	if len(seen) != want {
+		t.Errorf("got %d shards, want %d", len(seen), want)
+	}
+}
+
+// TestSpreadOverWeakHosts has 90 shards in the zone of a root with room for
+// 20: hosts of the zone take the rest by their room.
+func TestSpreadOverWeakHosts(t *testing.T) {
+	t.Parallel()
+	helpers := map[magnoliashore.ZoneName][]scatter.Helper{"a": {{Peer: "weak", Room: 20}, {Peer: "strong", Room: 80}, {Peer: "spare", Room: 20}}}
+	got := scatter.Spread(scatter.Routing{Direct: numbers(0, 90)}, "a", 20, helpers)
+	wantShards(t, got, 90)
+	if len(got.Direct) != 20 || len(got.Batches) != 2 {
+		t.Fatalf("got %d direct shards and %d batches, want 20 and 2", len(got.Direct), len(got.Batches))
+	}
+	if b := got.Batches[0]; b.Peer != "weak" || len(b.Shards) != 20 {
+		t.Errorf("got first batch of %d shards for %s, want 20 for weak", len(b.Shards), b.Peer)
+	}
+	if b := got.Batches[1]; b.Peer != "strong" || len(b.Shards) != 50 {
+		t.Errorf("got second batch of %d shards for %s, want 50 for strong", len(b.Shards), b.Peer)
+	}
+}
+
+func TestSpreadSplitsRemoteBatches(t *testing.T) {
+	t.Parallel()
+	helpers := map[magnoliashore.ZoneName][]scatter.Helper{"b": {{Peer: "1", Room: 20}, {Peer: "2", Room: 20}}}
+	routing := scatter.Routing{Batches: []scatter.Batch{{Zone: "b", Shards: numbers(0, 90)}}}
+	got := scatter.Spread(routing, "a", 20, helpers)
+	wantShards(t, got, 90)
+	if len(got.Batches) != 2 || len(got.Batches[0].Shards) != 45 {
+		t.Errorf("got %+v, want two batches of 45: both hosts lack room", got.Batches)
+	}
+}
+
+func TestSpreadKeepsSmallQueriesWhole(t *testing.T) {
+	t.Parallel()
+	helpers := map[magnoliashore.ZoneName][]scatter.Helper{"a": {{Peer: "1", Room: 40}}, "b": {{Peer: "2", Room: 40}}}
+	routing := scatter.Routing{Direct: numbers(0, 10), Batches: []scatter.Batch{{Zone: "b", Shards: numbers(10, 20)}}}
+	got := scatter.Spread(routing, "a", 40, helpers)
+	wantShards(t, got, 20)
+	if len(got.Direct) != 10 || len(got.Batches) != 1 || got.Batches[0].Peer != "2" {
+		t.Errorf("got %+v, want it as it was, with a host for the batch", got)
+	}
+}
+
+func TestSpreadWithoutHelpers(t *testing.T) {
+	t.Parallel()
+	routing := scatter.Routing{Direct: numbers(0, 90), Batches: []scatter.Batch{{Zone: "b", Shards: numbers(90, 95)}}}
+	got := scatter.Spread(routing, "a", 20, nil)
+	wantShards(t, got, 95)
+	if len(got.Direct) != 95 {
+		t.Errorf("got %d direct shards, want all of them", len(got.Direct))
+	}
+}
