fix(registry): a host whose sources are out of touch with the store finds another at once

The others went round between them: each stale host held a call for its full second, by when the failure of the one before was forgotten, so the store itself was never asked. Ruled out: a late acknowledgement (hosts had version 74 from 7.8 to 16.6 s, acknowledged 11.7). Change: a host out of touch answers at once; a failed source is avoided for longer than a round; behind the readers and the store come the first hosts of all zones, so that readers that are turned away learn from others.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -161,7 +161,7 @@
 	return &registry.Selector{
 		Store: h.Source, Timer: h.Timer, Log: h.Log,
 		Dial:  func(address string) registry.Source { return &registry.Peer{Address: address, Client: client} },
-		Order: func() ([]string, bool) { return readOrder(h.members.Members(), h.Settings.Peer) },
+		Order: func() []string { return readOrder(h.members.Members(), h.Settings.Peer) },
 	}
 }
 
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/membership"
+	"github.com/magnoliashore/magnoliashore/registry"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -195,38 +196,56 @@
 // availability zones, so that the loss of one leaves another.
 const readers = 2
 
-// readOrder returns the hosts to read entries from, the best first, and
-// whether this host reads the store itself. The first host of each zone
-// follows a reader, and the others of the zone follow that one, so that
-// entries cross between zones once.
-func readOrder(members []membership.Member, self string) (order []string, reads bool) {
-	ranked := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
-		return m.State() != membership.Alive && m.Peer() != self
-	})
+// readOrder returns where this host reads entries from, the best first. Few
+// hosts, the readers, read the store. The first host of each zone follows a
+// reader, and the others of the zone follow that one, so that entries cross
+// between zones once. The rest of the order serves when those are out of touch
+// with the store: the store itself, and the first hosts of other zones.
+func readOrder(members []membership.Member, self string) []string {
+	heads, own := zoneHeads(members, self)
+	first := heads[:min(readers, len(heads))]
+	reads := slices.ContainsFunc(first, func(m membership.Member) bool { return m.Peer() == self })
+	var order []string
+	add := func(peer string) {
+		if peer != self && !slices.Contains(order, peer) {
+			order = append(order, peer)
+		}
+	}
+	if reads {
+		add(registry.FromStore)
+	}
+	for _, m := range heads {
+		if m.Zone() == own && !reads {
+			add(m.Peer())
+		}
+	}
+	for _, m := range first {
+		add(m.Peer())
+	}
+	add(registry.FromStore)
+	for _, m := range heads {
+		add(m.Peer())
+	}
+	return order
+}
+
+// zoneHeads returns the first host of each zone by hash, in that order, and
+// the zone of a host.
+func zoneHeads(members []membership.Member, self string) ([]membership.Member, magnoliashore.ZoneName) {
+	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b membership.Member) int {
 		return cmp.Compare(xxhash.Sum64String(a.Peer()), xxhash.Sum64String(b.Peer()))
 	})
-	heads := make(map[magnoliashore.ZoneName]string)
+	var heads []membership.Member
 	var own magnoliashore.ZoneName
 	for _, m := range ranked {
-		if heads[m.Zone()] == "" {
-			heads[m.Zone()] = m.Peer()
-			if len(heads) <= readers {
-				order = append(order, m.Peer())
-			}
-		}
 		if m.Peer() == self {
 			own = m.Zone()
 		}
+		taken := slices.ContainsFunc(heads, func(h membership.Member) bool { return h.Zone() == m.Zone() })
+		if !taken && (m.State() == membership.Alive || m.Peer() == self) {
+			heads = append(heads, m)
+		}
 	}
-	if slices.Contains(order, self) {
-		return slices.DeleteFunc(order, func(peer string) bool { return peer == self }), true
-	}
-	if head := heads[own]; head != self && !slices.Contains(order, head) {
-		return append([]string{head}, order...), false
-	}
-	if at := slices.Index(order, heads[own]); at > 0 {
-		order[0], order[at] = order[at], order[0]
-	}
-	return order, false
+	return heads, own
 }
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -14,12 +14,17 @@
 )
 
 const (
-	joinWait   = time.Second            // for other hosts at the start; two rounds of the membership
-	gather     = 100 * time.Millisecond // for which changes add up before the next call
-	firstRetry = 100 * time.Millisecond // after a failed call to the source
-	lastRetry  = 800 * time.Millisecond // leaves time to apply a change within its bound
+	joinWait    = time.Second            // for other hosts at the start; two rounds of the membership
+	gather      = 100 * time.Millisecond // for which changes add up before the next call
+	firstRetry  = 100 * time.Millisecond // after a failed call to the source
+	oneRound    = 6                      // failures after which every source has been tried and the wait grows
+	maxFailures = 16                     // that are counted
+	lastRetry   = 800 * time.Millisecond // leaves time to apply a change within its bound
 )
 
+// errStale says that a host was asked that has lost the store itself.
+var errStale = errors.New("the source is out of touch with the store")
+
 // Reader keeps a book up to date from a source. Set the exported fields
 // before Run.
 type Reader struct {
@@ -60,11 +65,11 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
 	r.awaitOthers(ctx)
-	retry := firstRetry
+	failures := 0
 	for ctx.Err() == nil {
 		err := r.step(ctx)
 		if err == nil {
-			retry = firstRetry
+			failures = 0
 			r.pause(ctx, gather)
 			continue
 		}
@@ -72,8 +77,8 @@
 			return nil
 		}
 		r.noteLost(err)
-		r.pause(ctx, timer.Jitter(retry))
-		retry = min(2*retry, lastRetry)
+		failures++
+		r.pause(ctx, timer.Jitter(min(firstRetry<<max(0, min(failures, maxFailures)-oneRound), lastRetry)))
 	}
 	return nil
 }
@@ -118,6 +123,9 @@
 		return err
 	}
 	r.take(batch.Age, func(now time.Time) []Change { return r.Book.Apply(now, batch) })
+	if batch.Age > staleAge {
+		return errStale
+	}
 	return nil
 }
 
@@ -164,7 +172,8 @@
 	defer over.Stop()
 	for waited := false; ; {
 		batch, changed, err := r.changes(revision)
-		if err != nil || len(batch.Items) > 0 || waited {
+		// A host that is out of touch with the store says so at once.
+		if err != nil || len(batch.Items) > 0 || waited || batch.Age > staleAge {
 			return batch, err
 		}
 		select {
@@ -215,7 +224,7 @@
 }
 
 func (r *Reader) noteHeard(at time.Time) {
-	if r.lost {
+	if r.lost && r.Timer.Now().Sub(at) <= staleAge {
 		r.Log.WithField("revision", r.Book.Revision()).Info("entries are read again")
 		r.lost = false
 	}
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	firstAvoid = 500 * time.Millisecond  // after a failure of a source, doubled with each further one
+	firstAvoid = 2 * time.Second         // after a failure of a source, doubled with each further one; longer than a round of all
 	lastAvoid  = 4 * time.Second         // so that a source that is back is found soon
 	staleAge   = 2500 * time.Millisecond // of a host's knowledge, from which on another source is asked
 )
 
-// storeName stands for the store among the names of sources.
-const storeName = "store"
+// FromStore stands for the store in the order of sources.
+const FromStore = "store"
 
 // Selector is a source that reads from the store if this host is one of the
 // few that do, and else from one of those. When its source fails or is out of
@@ -26,9 +26,9 @@
 type Selector struct {
 	Store Source
 	Dial  func(address string) Source
-	// Order returns the addresses of the hosts to read from, the best first,
-	// and whether this host is to read from the store itself.
-	Order func() (hosts []string, reads bool)
+	// Order returns the addresses of the hosts to read from, and FromStore,
+	// the best first.
+	Order func() []string
 	Timer *timer.Service
 	Log   log.Interface
 
@@ -57,7 +57,7 @@
 func (s *Selector) call(ctx context.Context, ask func(Source) (Batch, error)) (Batch, error) {
 	name := s.pick()
 	src := s.Store
-	if name != storeName {
+	if name != FromStore {
 		src = s.Dial(name)
 	}
 	batch, err := ask(src)
@@ -78,7 +78,7 @@
 func (s *Selector) pick() string {
 	now := s.Timer.Now()
 	best := ""
-	for _, name := range s.names() {
+	for _, name := range s.Order() {
 		until := s.avoid[name].until
 		if !now.Before(until) {
 			best = name
@@ -95,14 +95,6 @@
 	return best
 }
 
-func (s *Selector) names() []string {
-	hosts, reads := s.Order()
-	if reads {
-		return append([]string{storeName}, hosts...)
-	}
-	return append(hosts, storeName)
-}
-
 func (s *Selector) failed(name, why string) {
 	if s.avoid == nil {
 		s.avoid = make(map[string]avoidance)
