--- a/cmd/root.go
+++ b/cmd/root.go
@@ -46,6 +46,7 @@
 		newLoadCmd().cmd,
 		newQueryCmd().cmd,
 		newServeCmd().cmd,
+		newSoakCmd().cmd,
 		newTableCmd().cmd,
 		newTimelineCmd().cmd,
 		newTryCmd().cmd,
