--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -95,8 +95,9 @@
 func TestReadOrder(t *testing.T) {
 	t.Parallel()
 	zones := make(map[string]magnoliashore.ZoneName)
-	var members []membership.Member
-	for i, zone := range []magnoliashore.ZoneName{"a", "a", "a", "b", "b", "c", "c", "d"} {
+	places := []magnoliashore.ZoneName{"a", "a", "a", "b", "b", "c", "c", "d"}
+	members := make([]membership.Member, 0, len(places))
+	for i, zone := range places {
 		peer := strconv.Itoa(i)
 		zones[peer] = zone
 		members = append(members, member(peer, zone, membership.Alive))
--- a/scatter/spread_test.go
+++ b/scatter/spread_test.go
@@ -19,7 +19,8 @@
 func wantShards(t *testing.T, r scatter.Routing, want int) {
 	t.Helper()
 	seen := make(map[int]bool)
-	lists := [][]int{r.Direct}
+	lists := make([][]int, 0, 1+len(r.Batches))
+	lists = append(lists, r.Direct)
 	for _, b := range r.Batches {
 		lists = append(lists, b.Shards)
 	}
