perf(admit): a host lets four queries of a group run whatever its share of the slots

The lowest limit was 2 a host, and 1.2 queries run on average. Ruled out: refusals by targets (none in these seconds); late configuration.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -9,7 +9,7 @@
 // Sizes of a Gate.
 const (
 	gatePerSlot   = 4                      // queries that the hosts together keep at a slot before any of them waits
-	gateLeast     = 2                      // lowest limit of a host
+	gateLeast     = 4                      // lowest limit of a host
 	gateStart     = 2                      // first limit, as a multiple of the lowest one
 	gateFall      = 0.8                    // of the limit, after an overload
 	gateCalm      = 100 * time.Millisecond // between two falls: about one query
