--- a/cmd/check.go
+++ b/cmd/check.go
@@ -16,7 +16,8 @@
 }
 
 type checkOptions struct {
-	output outputOption
+	output   outputOption
+	platform bool
 }
 
 func newCheckCmd() *checkCmd {
@@ -30,6 +31,7 @@
 		},
 	}
 	c.opts.output.add(c.cmd)
+	c.cmd.Flags().BoolVar(&c.opts.platform, "platform", false, "the file is one of the users' platform, for the gateway command")
 	return c
 }
 
@@ -38,7 +40,11 @@
 	if err != nil {
 		return err
 	}
-	err = checkSettings(path)
+	if c.opts.platform {
+		_, err = loadPlatformSettings(path)
+	} else {
+		err = checkSettings(path)
+	}
 	if asJSON {
 		return writeVerdict(cmd.OutOrStdout(), err)
 	}
--- a/cmd/try.go
+++ b/cmd/try.go
@@ -16,6 +16,7 @@
 	cmd    *cobra.Command
 	output outputOption
 	burst  time.Duration
+	users  bool
 }
 
 func newTryCmd() *tryCmd {
@@ -28,10 +29,17 @@
 	}
 	c.output.add(c.cmd)
 	c.cmd.Flags().DurationVar(&c.burst, "burst", tryBurst, "length of the burst of queries")
+	c.cmd.Flags().BoolVar(&c.users, "platform", false, "run hosts on stand-ins for the users' platform instead")
 	return c
 }
 
+// platformQueries is how many queries a trial on the platform asks.
+const platformQueries = 200
+
 func (c *tryCmd) run(cmd *cobra.Command, _ []string) error {
+	if c.users {
+		return c.runPlatform(cmd)
+	}
 	asJSON, err := c.output.json()
 	if err != nil {
 		return err
@@ -49,3 +57,15 @@
 	}
 	return report.WriteText(cmd.OutOrStdout())
 }
+
+func (c *tryCmd) runPlatform(cmd *cobra.Command) error {
+	job := &try.Platform{Progress: cmd.ErrOrStderr(), Queries: platformQueries}
+	report, err := job.Run(cmd.Context())
+	if err != nil {
+		return err
+	}
+	if report.Wrong() > 0 {
+		return errors.Newf("%d answers were not true", report.Wrong())
+	}
+	return report.WriteText(cmd.OutOrStdout())
+}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -34,21 +34,21 @@
 func (s Settings) Check() error {
 	var err error
 	if s.Host == "" {
-		err = errors.CombineErrors(err, errors.New("the host has no name"))
+		err = errors.Join(err, errors.New("the host has no name"))
 	}
 	addresses := []struct{ name, value string }{
 		{"caller", s.Caller}, {"ready", s.Ready}, {"directory", s.Directory}, {"peer", s.Peer}, {"store", s.Store},
 	}
 	for _, a := range addresses {
 		if _, _, e := net.SplitHostPort(a.value); e != nil {
-			err = errors.CombineErrors(err, errors.Wrapf(e, "the %s address %q", a.name, a.value))
+			err = errors.Join(err, errors.Wrapf(e, "the %s address %q", a.name, a.value))
 		}
 	}
 	if s.Grace <= 0 {
-		err = errors.CombineErrors(err, errors.Newf("the time to stop is %s; it must be above zero", s.Grace))
+		err = errors.Join(err, errors.Newf("the time to stop is %s; it must be above zero", s.Grace))
 	}
 	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
-		err = errors.CombineErrors(err, errors.New("the retry limit must not be negative"))
+		err = errors.Join(err, errors.New("the retry limit must not be negative"))
 	}
 	return err
 }
