--- a/membership/core.go
+++ b/membership/core.go
@@ -57,6 +57,7 @@
 	Random *rand.Rand
 
 	peers  map[string]*peer
+	roster []string // the running hosts in order; nil if it has to be made anew
 	queue  []news
 	order  []string // peers still to be probed in this round
 	probes []probe
@@ -159,7 +160,10 @@
 func (c *Core) askOthers(p *probe) []Packet {
 	var out []Packet
 	for _, peer := range c.shuffled() {
-		if peer == p.peer || len(out) == helpers {
+		if len(out) == helpers {
+			break
+		}
+		if peer == p.peer {
 			continue
 		}
 		out = append(out, Packet{To: peer, Message: Message{
@@ -206,15 +210,24 @@
 	return ""
 }
 
-// shuffled returns the running hosts in random order.
-func (c *Core) shuffled() []string {
-	var addresses []string
+// running returns the running hosts in order.
+func (c *Core) running() []string {
+	if c.roster != nil {
+		return c.roster
+	}
+	c.roster = make([]string, 0, len(c.peers))
 	for address, p := range c.peers {
 		if p.member.Runs() {
-			addresses = append(addresses, address)
+			c.roster = append(c.roster, address)
 		}
 	}
-	slices.Sort(addresses)
+	slices.Sort(c.roster)
+	return c.roster
+}
+
+// shuffled returns the running hosts in random order.
+func (c *Core) shuffled() []string {
+	addresses := slices.Clone(c.running())
 	c.Random.Shuffle(len(addresses), func(i, j int) {
 		addresses[i], addresses[j] = addresses[j], addresses[i]
 	})
@@ -244,14 +257,7 @@
 }
 
 // alone reports whether no other host is known to run.
-func (c *Core) alone() bool {
-	for _, p := range c.peers {
-		if p.member.Runs() {
-			return false
-		}
-	}
-	return true
-}
+func (c *Core) alone() bool { return len(c.running()) == 0 }
 
 func (c *Core) join(to string) Packet {
 	p := c.ping(to)
@@ -367,6 +373,7 @@
 }
 
 func (c *Core) set(now time.Time, m Member) {
+	c.roster = nil
 	c.peers[m.Peer()] = &peer{member: m, since: now}
 	c.publish(m.Peer())
 }
@@ -389,8 +396,8 @@
 		}
 	}
 	c.queue = slices.DeleteFunc(c.queue, func(n news) bool { return n.left <= 0 })
-	if all := c.shuffled(); len(all) > 0 {
-		out = append(out, c.peers[all[0]].member)
+	if all := c.running(); len(all) > 0 {
+		out = append(out, c.peers[all[c.Random.IntN(len(all))]].member)
 	}
 	return out
 }
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -20,6 +20,9 @@
 	cut    map[string]bool // hosts on the other side of a partition
 	loss   float64
 	flight []flight
+
+	weighed       bool // bytes are counted
+	sent, packets int
 }
 
 type flight struct {
@@ -39,7 +42,7 @@
 	return w
 }
 
-func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250) }
 
 func (w *world) start(peer string, incarnation uint64) {
 	w.cores[peer] = &membership.Core{
@@ -53,6 +56,7 @@
 }
 
 func (w *world) post(from string, packets []membership.Packet) {
+	w.weigh(packets)
 	for _, p := range packets {
 		if w.random.Float64() < w.loss || w.cut[from] != w.cut[p.To] {
 			continue
