--- a/cmd/check.go
+++ b/cmd/check.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/cmd/gatewaycmd"
 	"github.com/magnoliashore/magnoliashore/settings"
 )
 
@@ -41,7 +42,7 @@
 		return err
 	}
 	if c.opts.platform {
-		_, err = loadPlatformSettings(path)
+		_, err = gatewaycmd.LoadSettings(path)
 	} else {
 		err = checkSettings(path)
 	}
--- a/cmd/gateway.go
+++ b/cmd/gatewaycmd/gateway.go
@@ -1,9 +1,14 @@
-package cmd
+// Package gatewaycmd provides the command that runs a host on the users'
+// platform. It is apart from the other commands so that the program that the
+// platform starts links little: it is ready for signals sooner and its start
+// costs less.
+package gatewaycmd
 
 import (
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/apex/log"
@@ -27,7 +32,8 @@
 	level    string
 }
 
-func newGatewayCmd() *gatewayCmd {
+// New returns the command.
+func New() *cobra.Command {
 	c := &gatewayCmd{}
 	c.cmd = &cobra.Command{
 		Use:   "gateway",
@@ -40,11 +46,11 @@
 	c.cmd.Flags().StringVar(&c.opts.settings, "settings", os.Getenv(platform.SettingsVariable),
 		"settings file of the platform")
 	c.cmd.Flags().StringVar(&c.opts.level, "log", "info", "least level of the log lines")
-	return c
+	return c.cmd
 }
 
 func (c *gatewayCmd) run(ctx context.Context) error {
-	s, err := loadPlatformSettings(c.opts.settings)
+	s, err := LoadSettings(c.opts.settings)
 	if err != nil {
 		return err
 	}
@@ -76,16 +82,13 @@
 		Ready:     platform.Ready,
 	}
 	handler.Dropped = host.Metrics.LogDropped
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
-	host.Signals = reloads
-	host.Load = func() (gateway.Settings, error) { return loadPlatformSettings(c.opts.settings) }
+	host.Signals = Reloads()
+	host.Load = func() (gateway.Settings, error) { return LoadSettings(c.opts.settings) }
 	return host.Run(ctx)
 }
 
-// loadPlatformSettings reads and checks the platform's settings file.
-func loadPlatformSettings(path string) (gateway.Settings, error) {
+// LoadSettings reads and checks the platform's settings file.
+func LoadSettings(path string) (gateway.Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return gateway.Settings{}, magnoliashore.Step(err, "read settings", path)
@@ -93,3 +96,11 @@
 	s, err := platform.DecodeSettings(data)
 	return s, magnoliashore.Step(err, "read settings", path)
 }
+
+// Reloads returns the signals that ask for the settings to be read again. The
+// first call keeps them from ending the process, so it is to come early.
+var Reloads = sync.OnceValue(func() <-chan os.Signal {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return reloads
+})
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"github.com/magnoliashore/magnoliashore/cmd/gatewaycmd"
 )
 
 // Exit codes of the program.
@@ -41,7 +43,7 @@
 	root.cmd.AddCommand(
 		newCheckCmd().cmd,
 		newExplainCmd().cmd,
-		newGatewayCmd().cmd,
+		gatewaycmd.New(),
 		newInitCmd().cmd,
 		newLoadCmd().cmd,
 		newQueryCmd().cmd,
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/apex/log"
@@ -26,6 +27,7 @@
 	hosts  int
 	length time.Duration
 	logs   string
+	path   string
 }
 
 func newSoakCmd() *soakCmd {
@@ -43,14 +45,15 @@
 	flags.IntVar(&c.opts.seeds, "seeds", 1, "how many runs, with seeds in a row")
 	flags.IntVar(&c.opts.hosts, "hosts", 5, "hosts of a run")
 	flags.DurationVar(&c.opts.length, "length", 15*time.Second, "length of the faults of a run")
+	flags.StringVar(&c.opts.path, "program", "", "path of the gateway program; empty for the one beside this program")
 	flags.StringVar(&c.opts.logs, "logs", "", "file for the logs of the hosts; empty for none")
 	return c
 }
 
 func (c *soakCmd) run(cmd *cobra.Command) error {
-	program, err := os.Executable()
+	program, err := c.program()
 	if err != nil {
-		return errors.Wrap(err, "finding the program")
+		return err
 	}
 	logs, closeLogs, err := c.openLogs()
 	if err != nil {
@@ -72,6 +75,19 @@
 	return failed
 }
 
+func (c *soakCmd) program() (string, error) {
+	if c.opts.path != "" {
+		return c.opts.path, nil
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return "", errors.Wrap(err, "finding the program")
+	}
+	path := filepath.Join(filepath.Dir(own), "gateway")
+	_, err = os.Stat(path)
+	return path, magnoliashore.Step(err, "find the gateway program", path)
+}
+
 func (c *soakCmd) openLogs() (io.Writer, func(), error) {
 	if c.opts.logs == "" {
 		return io.Discard, func() {}, nil
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -17,8 +17,9 @@
 const (
 	mostGap   = 900 * time.Millisecond // between two faults
 	mostFault = 2500 * time.Millisecond
-	drain     = 3 * time.Second // for which a leaving target may still get requests
-	settle    = 4 * time.Second // after a disturbance, in which bounds do not hold
+	drain     = 3 * time.Second        // for which a leaving target may still get requests
+	settle    = 4 * time.Second        // after a disturbance, in which bounds do not hold
+	startup   = 100 * time.Millisecond // before which a process may not handle signals yet
 )
 
 // faultStep asks queries while faults come and go.
@@ -64,7 +65,9 @@
 			r.signal(p, syscall.SIGCONT)
 		})
 	case 3:
-		r.signal(p, syscall.SIGHUP)
+		if p.Age() > startup {
+			r.signal(p, syscall.SIGHUP)
+		}
 	case 4, 5:
 		troubles := []Trouble{{Delay: 80 * time.Millisecond}, {Refuse: true, Reset: true}, {Silence: true}}
 		r.trouble(faults, t, troubles[r.random.IntN(len(troubles))], length)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,7 +22,7 @@
 
 // Soak is one run. Set the exported fields before Run.
 type Soak struct {
-	Program string // path of the program
+	Program string // path of the gateway program
 	Seed    uint64
 	Length  time.Duration // of the faults
 	Hosts   int
