--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,160 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/websocket"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+var quiet = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+
+func ask() relay.Ask {
+	return relay.Ask{
+		ID: "a1", Method: http.MethodPost, URI: "/x/?q=%2f", Host: "h", Header: http.Header{"X": {"1", "2"}}, Body: []byte("b"),
+		Kind: "r", Rank: 2, Patience: time.Second, Hedge: 30 * time.Millisecond, Settle: 80 * time.Millisecond,
+		Attempts: 2, Best: 5, Shards: []magnoliashore.ServiceName{"s1", "s2", "s3"},
+	}
+}
+
+// connect starts a server at the path of the relay, and a link to it.
+func connect(t *testing.T, handler http.Handler) (*relay.Link, *httptest.Server) {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, handler)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	link := &relay.Link{Peer: strings.TrimPrefix(server.URL, "http://"), Timer: &timer.Service{}, Log: quiet}
+	t.Cleanup(link.Close)
+	link.Connect()
+	for range 200 {
+		if link.Up() {
+			return link, server
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("got no connection in 2 s")
+	return nil, nil
+}
+
+func serve(handle func(ctx context.Context, ask relay.Ask, reply func(relay.Bundle))) http.Handler {
+	return &relay.Server{Handle: handle, Timer: &timer.Service{}, Log: quiet}
+}
+
+func TestAskIsCarriedWhole(t *testing.T) {
+	t.Parallel()
+	asks := make(chan relay.Ask, 1)
+	first := relay.Bundle{Shards: []int{0, 2}, Proofs: []string{"p0", "p2"}, Records: []byte("0123456789abcdef"), Half: time.Millisecond}
+	last := relay.Bundle{Failed: []int{1}, Ran: true, Last: true, Refused: 3}
+	link, _ := connect(t, serve(func(_ context.Context, ask relay.Ask, reply func(relay.Bundle)) {
+		asks <- ask
+		reply(first)
+		reply(last)
+	}))
+	call, err := link.Ask(ask())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := <-asks, ask(); !reflect.DeepEqual(got, want) {
+		t.Errorf("got ask %+v, want %+v", got, want)
+	}
+	for _, want := range []relay.Bundle{first, last} {
+		if got := <-call.Bundles; !reflect.DeepEqual(got, want) {
+			t.Errorf("got bundle %+v, want %+v", got, want)
+		}
+	}
+	if _, open := <-call.Bundles; open {
+		t.Error("got a bundle after the last one, want none")
+	}
+}
+
+func TestCancelEndsTheBatch(t *testing.T) {
+	t.Parallel()
+	ended := make(chan struct{})
+	link, _ := connect(t, serve(func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) {
+		<-ctx.Done()
+		close(ended)
+	}))
+	call, err := link.Ask(ask())
+	if err != nil {
+		t.Fatal(err)
+	}
+	call.Cancel()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("got a batch that goes on, want its end")
+	}
+}
+
+func TestLostHostEndsTheCalls(t *testing.T) {
+	t.Parallel()
+	link, server := connect(t, serve(func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) { <-ctx.Done() }))
+	call, err := link.Ask(ask())
+	if err != nil {
+		t.Fatal(err)
+	}
+	link.Close()
+	if _, open := <-call.Bundles; open {
+		t.Error("got a bundle of a lost connection, want the end")
+	}
+	server.Close()
+	time.Sleep(300 * time.Millisecond)
+	if _, err := link.Ask(ask()); !errors.Is(err, relay.ErrLink) {
+		t.Errorf("got error %v without a connection, want %v", err, relay.ErrLink)
+	}
+}
+
+// TestSilentHostIsGivenUp has a host take a batch and say nothing, without a
+// reset: the link is not used any longer.
+func TestSilentHostIsGivenUp(t *testing.T) {
+	t.Parallel()
+	link, _ := connect(t, serve(func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) { <-ctx.Done() }))
+	call, err := link.Ask(ask())
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(ask().Settle + 600*time.Millisecond)
+	if link.Up() {
+		t.Error("got a link that is up, want it given up")
+	}
+	if _, open := <-call.Bundles; open {
+		t.Error("got a bundle of a silent host, want the end")
+	}
+}
+
+// TestMalformedFrames has a host answer a batch with what no host sends.
+func TestMalformedFrames(t *testing.T) {
+	t.Parallel()
+	for _, frame := range [][]byte{nil, []byte("nonsense"), {0x85, 9, 1, 0xf6, 0xf6}} {
+		link, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			upgrader := websocket.Upgrader{}
+			socket, err := upgrader.Upgrade(w, r, nil)
+			if err != nil {
+				return
+			}
+			_, _, _ = socket.ReadMessage()
+			_ = socket.WriteMessage(websocket.BinaryMessage, frame)
+			_, _, _ = socket.ReadMessage()
+		}))
+		call, err := link.Ask(ask())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, open := <-call.Bundles; open {
+			t.Errorf("frame %q: got a bundle, want the end of the call", frame)
+		}
+	}
+}
