--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -22,7 +22,7 @@
 	defaultPatience = 30 * time.Second       // of a caller that states none, on a route that states none
 	answerMargin    = 20 * time.Millisecond  // before the caller's deadline, for the way back
 	soon            = 50 * time.Millisecond  // when to come back after a refusal that should not last
-	later           = 500 * time.Millisecond // when to come back to a host that knows no configuration yet
+	later           = 500 * time.Millisecond // when to come back while a configuration or targets are missing
 	defaultBody     = 1 << 20                // bytes, while no configuration states a limit
 )
 
@@ -74,7 +74,9 @@
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, route *catalog.Route, began time.Time, body []byte) {
 	q := h.query(r, route, began, body)
 	if !h.possible(q) {
-		h.refuse(w, r, soon, "too few shards have a target")
+		// Targets take longer to come back than a queue takes to drain.
+		most := time.Duration(returnShare * float64(q.terms.Timeout))
+		h.refuse(w, r, max(soon, min(later, most)), "too few shards have a target")
 		return
 	}
 	admitted, after, ok := h.admit(r.Context(), q, route)
