refactor(gateway): query, dispatch and run in files of one job each; parts need a usable signature

The form that the dialect checked (six fields of hexadecimal digits) is not promised by the protocol and was not used. What the list of parts needs is checked instead, and used: a signature with a separator in it would spoil the whole answer.

--- a/dialect.go
+++ b/dialect.go
@@ -37,6 +37,7 @@
 	// Coverage writes the signatures of the parts of an answer over shards,
 	// and how many shards are missing in it.
 	Coverage(h http.Header, proofs []string, missing int)
-	// Signature reports whether proof has the form of a target's signature.
+	// Signature reports whether proof has the form of a target's signature and
+	// can be named in Coverage.
 	Signature(proof string) bool
 }
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/scatter"
+)
+
+// batch is a set of shards that another host asks.
+type batch struct {
+	call   *relay.Call
+	shards []int // indexes in the query
+	open   map[int]bool
+}
+
+// dispatch asks all shards.
+func (r *run) dispatch() {
+	if !r.query.delegate {
+		for i := range r.query.services {
+			r.ask(i, first)
+		}
+		return
+	}
+	hosts := r.engine.Hosts
+	helpers := hosts.Helpers()
+	zones := make(map[magnoliashore.ZoneName]bool, len(helpers))
+	for zone := range helpers {
+		zones[zone] = zone != r.engine.Zone
+	}
+	routing := scatter.Plan(r.engine.Zone, r.replicas(), zones, newRandom())
+	routing = scatter.Spread(routing, r.engine.Zone, hosts.Room(), helpers)
+	for _, b := range routing.Batches {
+		if !r.hand(b) {
+			routing.Direct = append(routing.Direct, b.Shards...)
+		}
+	}
+	for _, i := range routing.Direct {
+		r.ask(i, first)
+	}
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// replicas returns the targets of each shard that may be asked.
+func (r *run) replicas() [][]scatter.Replica {
+	e := r.engine
+	view := e.View()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Timer.Now()
+	replicas := make([][]scatter.Replica, len(r.query.services))
+	for i, service := range r.query.services {
+		for _, t := range view.Targets(service) {
+			replicas[i] = append(replicas[i], scatter.Replica{
+				Target: t.ID(), Zone: t.Zone(), Cost: e.Book.Cost(now, t, r.query.kind),
+			})
+		}
+	}
+	return replicas
+}
+
+// ask sends a shard's request to a target.
+func (r *run) ask(i int, why reason) bool {
+	a, ok := r.engine.pick(r.query, r.query.services[i], r.tried[i], why)
+	if !ok {
+		r.race.Lose(i)
+		return false
+	}
+	r.tried[i] = append(r.tried[i], a.target.ID())
+	r.race.Sent(r.engine.Timer.Now(), i)
+	switch why {
+	case first:
+		r.direct++
+	case extra:
+		r.extra++
+	case unsent:
+	}
+	go func() {
+		result := r.engine.send(r.ctx, r.query, a)
+		r.events <- event{shard: i, result: result}
+	}()
+	return true
+}
+
+// hand sends a batch to a host of its zone.
+func (r *run) hand(b scatter.Batch) bool {
+	link, ok := r.engine.Hosts.Link(b.Peer)
+	if !ok {
+		return false
+	}
+	q, e := r.query, r.engine
+	now := e.Timer.Now()
+	ask := relay.Ask{
+		ID: q.request.ID, Method: q.request.Method, URI: q.request.URI, Host: q.request.Host,
+		Header: q.request.Header, Body: q.request.Body, Kind: q.kind, Rank: q.request.Rank,
+		Patience: e.until(q.deadline), Hedge: q.terms.Hedge, Settle: batchSettle(q.terms.Settle),
+		Attempts: q.terms.Attempts, Best: q.best,
+	}
+	for _, i := range b.Shards {
+		ask.Shards = append(ask.Shards, q.services[i])
+	}
+	call, err := link.Ask(ask)
+	if err != nil {
+		return false
+	}
+	sent := &batch{call: call, shards: b.Shards, open: make(map[int]bool)}
+	for _, i := range b.Shards {
+		sent.open[i] = true
+		r.race.Delegated(now, i)
+	}
+	r.batches = append(r.batches, sent)
+	go r.collect(sent)
+	return true
+}
+
+// batchSettle is when a batch is to be sent back for an answer that is given
+// after settle.
+func batchSettle(settle time.Duration) time.Duration { return settle * 7 / 8 }
+
+// collect passes on the bundles of a batch.
+func (r *run) collect(b *batch) {
+	for {
+		select {
+		case bundle, ok := <-b.call.Bundles:
+			if !ok {
+				r.events <- event{batch: b, closed: true}
+				return
+			}
+			r.events <- event{batch: b, bundle: bundle}
+		case <-r.ctx.Done():
+			b.call.Cancel()
+			return
+		}
+	}
+}
+
+// unseen reports whether no bundle has brought any of the shards yet.
+func (b *batch) unseen(shards []int) bool {
+	for _, at := range shards {
+		if !b.open[b.shards[at]] {
+			return false
+		}
+	}
+	return true
+}
