--- a/origin/exchange_test.go
+++ b/origin/exchange_test.go
@@ -287,18 +287,19 @@
 	}
 }
 
-// TestCancelClosesTheConnection lets a target see that its caller has left.
+// TestCancelClosesTheConnection lets a target that has read the request see
+// that its caller has left.
 func TestCancelClosesTheConnection(t *testing.T) {
 	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
 	left := make(chan struct{})
 	s := play(t, func(_ int, _ net.Conn, r *bufio.Reader) {
 		if _, _, ok := next(r); ok {
+			cancel()
 			_, _ = r.ReadByte()
 			close(left)
 		}
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(30*time.Millisecond, cancel)
 	got := newCaller(s).ask(ctx, "a", "")
 	if got.Status != 0 || got.NotRun() {
 		t.Errorf("got status %d and not run %t, want no answer to a request that may have run", got.Status, got.NotRun())
