--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -20,7 +20,7 @@
 func (r *run) dispatch() {
 	if !r.query.delegate {
 		for i := range r.query.services {
-			r.ask(i, first)
+			r.ask(i, firstSend)
 		}
 		return
 	}
@@ -38,7 +38,7 @@
 		}
 	}
 	for _, i := range routing.Direct {
-		r.ask(i, first)
+		r.ask(i, firstSend)
 	}
 }
 
@@ -72,11 +72,11 @@
 	r.tried[i] = append(r.tried[i], a.target.ID())
 	r.race.Sent(r.engine.Timer.Now(), i)
 	switch why {
-	case first:
+	case firstSend:
 		r.direct++
-	case extra:
+	case repeatSend:
 		r.extra++
-	case unsent:
+	case unsentSend:
 	}
 	go func() {
 		result := r.engine.send(r.ctx, r.query, a)
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -69,9 +69,9 @@
 
 // The reasons to ask a service.
 const (
-	first  reason = iota // it is asked for the first time
-	unsent               // no attempt has reached it yet
-	extra                // it may have got the request before; that needs the retry budget
+	firstSend  reason = iota // it is asked for the first time
+	unsentSend               // no attempt has reached it yet
+	repeatSend               // it may have got the request before; that needs the retry budget
 )
 
 // pick chooses the target of an attempt at a service and notes that it is
@@ -87,14 +87,14 @@
 		return attempt{}, false
 	}
 	e.Budget.Hosts = e.Hosts.Count()
-	if why == extra && !e.Budget.Take(now, service) {
+	if why == repeatSend && !e.Budget.Take(now, service) {
 		e.Metrics.overBudget.Inc()
 		return attempt{}, false
 	}
 	if cold(now, t, rate) {
 		e.Cold.Take(t.ID())
 	}
-	if why == first {
+	if why == firstSend {
 		e.Budget.Request(now, service)
 	}
 	return attempt{target: t, ticket: e.Book.Start(now, t, q.kind)}, true
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -56,7 +56,7 @@
 		name string
 		why  reason
 		want bool
-	}{{"first", first, true}, {"unsent", unsent, true}, {"repeat", extra, false}} {
+	}{{"first", firstSend, true}, {"unsent", unsentSend, true}, {"repeat", repeatSend, false}} {
 		if _, got := e.pick(q, "s", nil, test.why); got != test.want {
 			t.Errorf("%s attempt: got %t, want %t", test.name, got, test.want)
 		}
@@ -75,7 +75,7 @@
 	q := &query{kind: "k"}
 	sent := 0
 	for range 20 {
-		a, ok := e.pick(q, "s", []magnoliashore.TargetID{"warm"}, first)
+		a, ok := e.pick(q, "s", []magnoliashore.TargetID{"warm"}, firstSend)
 		if ok && a.target.ID() == "cold" {
 			sent++
 		}
@@ -83,7 +83,7 @@
 	if sent != 1 {
 		t.Errorf("got %d of 20 requests at the cold target, want 1", sent)
 	}
-	if _, ok := e.pick(q, "s", nil, first); !ok {
+	if _, ok := e.pick(q, "s", nil, firstSend); !ok {
 		t.Error("got no target, want the warm one")
 	}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -21,8 +21,8 @@
 const (
 	defaultPatience = 30 * time.Second       // of a caller that states none, on a route that states none
 	answerMargin    = 20 * time.Millisecond  // before the caller's deadline, for the way back
-	soon            = 50 * time.Millisecond  // when to come back after a refusal that should not last
-	later           = 500 * time.Millisecond // when to come back while a configuration or targets are missing
+	comeBackSoon    = 50 * time.Millisecond  // when to come back after a refusal that should not last
+	comeBackLater   = 500 * time.Millisecond // when to come back while a configuration or targets are missing
 	defaultBody     = 1 << 20                // bytes, while no configuration states a limit
 )
 
@@ -48,7 +48,7 @@
 	}
 	view := h.Engine.View()
 	if view.Config() == nil {
-		h.refuse(w, r, later, "no configuration is known yet")
+		h.refuse(w, r, comeBackLater, "no configuration is known yet")
 		return
 	}
 	route := view.Config().Route(r.Host, path(r))
@@ -59,7 +59,7 @@
 		return
 	}
 	if h.Refuse() {
-		h.refuse(w, r, soon, "this host is about to stop")
+		h.refuse(w, r, comeBackSoon, "this host is about to stop")
 		return
 	}
 	began := h.Engine.Timer.Now()
@@ -76,7 +76,7 @@
 	if !h.possible(q) {
 		// Targets take longer to come back than a queue takes to drain.
 		most := time.Duration(returnShare * float64(q.terms.Timeout))
-		h.refuse(w, r, max(soon, min(later, most)), "too few shards have a target")
+		h.refuse(w, r, max(comeBackSoon, min(comeBackLater, most)), "too few shards have a target")
 		return
 	}
 	admitted, after, ok := h.admit(r.Context(), q, route)
@@ -178,7 +178,7 @@
 		return write(w, run.last)
 	case !run.race.Ran():
 		m.refused.Inc()
-		return deny(w, http.StatusServiceUnavailable, soon)
+		return deny(w, http.StatusServiceUnavailable, comeBackSoon)
 	case verdict == scatter.Expired:
 		m.expired.Inc()
 		return deny(w, http.StatusGatewayTimeout, 0)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -83,12 +83,12 @@
 const eventsPerBatch = 2
 
 // wait takes events until there is a verdict, or until there are pieces to
-// report. It returns false if ctx has ended.
+// report. It returns false if ctx has ended, because the caller has left.
 func (r *run) wait(ctx context.Context) (scatter.Verdict, bool) {
 	for {
 		now := r.engine.Timer.Now()
 		for _, i := range r.race.Late(now) {
-			if !r.ask(i, extra) {
+			if !r.ask(i, repeatSend) {
 				r.race.Hold(now, i)
 			}
 		}
@@ -138,6 +138,8 @@
 	}
 }
 
+// take notes the outcome of an attempt, and makes the next one if the shard may
+// be asked again.
 func (r *run) take(ev event) {
 	if ev.batch != nil {
 		r.takeBundle(ev)
@@ -156,9 +158,9 @@
 	}
 	r.fault(i, result)
 	r.reached[i] = r.reached[i] || result.Sent
-	why := unsent
+	why := unsentSend
 	if r.reached[i] || r.race.Open(i) > 1 {
-		why = extra
+		why = repeatSend
 	}
 	if r.race.Missed(i, !result.NotRun()) && r.ask(i, why) {
 		return
@@ -193,6 +195,8 @@
 	return result.Status < http.StatusInternalServerError || r.query.terms.Once
 }
 
+// takePart notes the answer of a target to a shard's request. Only the first
+// one of a shard counts.
 func (r *run) takePart(i int, result origin.Result) {
 	if !r.race.In(i) {
 		return
@@ -209,6 +213,8 @@
 	r.fresh++
 }
 
+// takeBundle notes what a batch brought. A bundle with a shard of a former one
+// is left out as a whole: its records cannot be told apart.
 func (r *run) takeBundle(ev event) {
 	b := ev.batch
 	r.batchHalf = max(r.batchHalf, ev.bundle.Half)
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -15,7 +15,7 @@
 
 const (
 	joinWait    = time.Second            // for other hosts at the start; two rounds of the membership
-	gather      = 100 * time.Millisecond // for which changes add up before the next call
+	gatherTime  = 100 * time.Millisecond // for which changes add up before the next call
 	firstRetry  = 100 * time.Millisecond // after a failed call to the source
 	oneRound    = 6                      // failures after which every source has been tried and the wait grows
 	maxFailures = 16                     // that are counted
@@ -70,7 +70,7 @@
 		err := r.step(ctx)
 		if err == nil {
 			failures = 0
-			r.pause(ctx, gather)
+			r.pause(ctx, gatherTime)
 			continue
 		}
 		if ctx.Err() != nil {
