--- /dev/null
+++ b/registry/fetch.go
@@ -0,0 +1,43 @@
+package registry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+)
+
+const maxAnswer = 16 << 20 // bytes
+
+// Fetch makes one call to a source of entries at an ip:port and returns the
+// body of its answer. It returns ErrHistory if the source no longer has the
+// changes that were asked for.
+func Fetch(ctx context.Context, client *http.Client, address, uri string, timeout time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+uri, nil)
+	if err != nil {
+		return nil, magnoliashore.Step(err, "build a call", address)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, magnoliashore.Step(err, "ask for entries", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, magnoliashore.Step(err, "read entries", address)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return body, nil
+	case http.StatusGone:
+		return nil, ErrHistory
+	default:
+		return nil, errors.Newf("%s answered %d to a call for entries", address, resp.StatusCode)
+	}
+}
--- a/registry/peer.go
+++ b/registry/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
@@ -20,7 +18,6 @@
 const (
 	peerWait    = time.Second            // that a host waits for a change before it answers
 	peerTimeout = 700 * time.Millisecond // beyond that, after which the host counts as lost
-	maxPeerBody = 16 << 20               // bytes
 )
 
 type wireItem struct {
@@ -61,29 +58,11 @@
 }
 
 func (p *Peer) call(ctx context.Context, query string) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+Path+query, nil)
+	data, err := Fetch(ctx, p.Client, p.Address, Path+query, peerWait+peerTimeout)
 	if err != nil {
-		return Batch{}, magnoliashore.Step(err, "build a call", p.Address)
-	}
-	resp, err := p.Client.Do(req)
-	if err != nil {
-		return Batch{}, magnoliashore.Step(err, "ask a host for entries", p.Address)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBody))
-	if err != nil {
-		return Batch{}, magnoliashore.Step(err, "read a host's entries", p.Address)
-	}
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return decodeBatch(data)
-	case http.StatusGone:
-		return Batch{}, ErrHistory
-	default:
-		return Batch{}, errors.Newf("host %s answered %d", p.Address, resp.StatusCode)
+		return Batch{}, err
 	}
+	return decodeBatch(data)
 }
 
 func encodeBatch(b Batch) ([]byte, error) {
