refactor: state that nothing reads, and twins in balance

Gate kept for each waiting query when it gives up, which the caller's timer decides; a shard its refusals; a replica its target; Book and Core three accessors without a caller. Done and Dropped learned a target's slowness in two copies with the same bare 20; contains was slices.Contains; the host made a random source beside newRandom. No decision changes; the tests keep their assertions.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -43,9 +43,8 @@
 
 // waiting is a query that waits.
 type waiting struct {
-	id    uint64
-	rank  int
-	until time.Time
+	id   uint64
+	rank int
 }
 
 // Resize sets the slots of the scarcest service of the group, and how many
@@ -64,15 +63,15 @@
 // Running returns how many queries run.
 func (g *Gate) Running() int { return g.running }
 
-// Offer asks for a query to run. It returns false if the query has to wait;
-// it then waits until the given time at most.
-func (g *Gate) Offer(id uint64, rank int, until time.Time) bool {
+// Offer asks for a query to run. It returns false if the query has to wait,
+// until Next returns it or Leave takes it out.
+func (g *Gate) Offer(id uint64, rank int) bool {
 	if len(g.waiting) == 0 && g.running < g.Limit() {
 		g.running++
 		return true
 	}
 	at, _ := slices.BinarySearchFunc(g.waiting, rank+1, func(w waiting, rank int) int { return cmp.Compare(w.rank, rank) })
-	g.waiting = slices.Insert(g.waiting, at, waiting{id: id, rank: rank, until: until})
+	g.waiting = slices.Insert(g.waiting, at, waiting{id: id, rank: rank})
 	return false
 }
 
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -77,7 +77,7 @@
 	if s.random.IntN(4) == 0 {
 		v.rank = 1
 	}
-	if s.gates[v.gate].Offer(v.id, v.rank, v.until) {
+	if s.gates[v.gate].Offer(v.id, v.rank) {
 		v.began = s.now
 		s.queue = append(s.queue, v)
 		return
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -14,6 +15,7 @@
 const (
 	gain       = 0.2                    // weight of the newest observation in a mean
 	forget     = 2 * time.Second        // half-life of an unused target's slowness
+	slowest    = 20.0                   // times the usual time that one request counts at most
 	crossCost  = 4.0                    // how much slower the own zone's replica may be before another zone's is used
 	firstBan   = 150 * time.Millisecond // after a failure, doubled with each further one
 	longestBan = 3 * time.Second
@@ -68,9 +70,7 @@
 		b.setUsual(ticket.kind, took.Seconds())
 		return
 	}
-	ratio := min(took.Seconds()/usual, 20)
-	s.slow = b.slowness(now, s)*(1-gain) + ratio*gain
-	s.seen = now
+	b.learn(now, s, took, usual)
 	// Slow targets pull the usual time up less than they would as a mean.
 	b.setUsual(ticket.kind, usual+gain/10*(min(took.Seconds(), 3*usual)-usual))
 }
@@ -94,7 +94,12 @@
 	if usual <= 0 || took.Seconds() < usual*b.slowness(now, s) {
 		return
 	}
-	s.slow = b.slowness(now, s)*(1-gain) + min(took.Seconds()/usual, 20)*gain
+	b.learn(now, s, took, usual)
+}
+
+// learn moves the slowness of a target towards that of one request.
+func (b *Book) learn(now time.Time, s *state, took time.Duration, usual float64) {
+	s.slow = b.slowness(now, s)*(1-gain) + min(took.Seconds()/usual, slowest)*gain
 	s.seen = now
 }
 
@@ -102,14 +107,6 @@
 // has been seen.
 func (b *Book) Usual(kind string) float64 { return b.usual[kind] }
 
-// Out returns how many requests are under way to a target.
-func (b *Book) Out(id magnoliashore.TargetID) int { return len(b.state(id).out) }
-
-// Banned reports whether a target failed a moment ago.
-func (b *Book) Banned(now time.Time, id magnoliashore.TargetID) bool {
-	return now.Before(b.state(id).banned)
-}
-
 // Choose returns the target with the lowest expected cost for a request of a
 // kind, leaving out those in not; nil if there is none. A target that failed a
 // moment ago is chosen only if all have.
@@ -117,7 +114,7 @@
 	var best *catalog.Target
 	lowest := math.Inf(1)
 	for _, t := range targets {
-		if contains(not, t.ID()) {
+		if slices.Contains(not, t.ID()) {
 			continue
 		}
 		cost := b.Cost(now, t, kind) * b.noise()
@@ -206,12 +203,3 @@
 	}
 	b.usual[kind] = seconds
 }
-
-func contains(ids []magnoliashore.TargetID, id magnoliashore.TargetID) bool {
-	for _, i := range ids {
-		if i == id {
-			return true
-		}
-	}
-	return false
-}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -55,7 +55,7 @@
 	for i, service := range r.query.services {
 		for _, t := range view.Targets(service) {
 			replicas[i] = append(replicas[i], scatter.Replica{
-				Target: t.ID(), Zone: t.Zone(), Cost: e.Book.Cost(now, t, r.query.kind),
+				Zone: t.Zone(), Cost: e.Book.Cost(now, t, r.query.kind),
 			})
 		}
 	}
--- a/gateway/gates.go
+++ b/gateway/gates.go
@@ -49,13 +49,12 @@
 // which is never above most.
 func (g *gates) enter(ctx context.Context, key string, size gateSize, rank int, wait, most time.Duration) (pass, time.Duration, bool) {
 	g.mu.Lock()
-	now := g.timer.Now()
 	current := g.gate(key)
 	current.Resize(size.slots, size.hosts)
 	p := pass{gates: g, gate: current, limit: current.Limit(), running: current.Running()}
 	g.number++
 	id := g.number
-	if current.Offer(id, rank, now.Add(wait)) {
+	if current.Offer(id, rank) {
 		g.mu.Unlock()
 		return p, 0, true
 	}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -122,7 +121,7 @@
 	h.members = &membership.Node{
 		Core: &membership.Core{
 			Self: self, Seeds: s.Seeds, Config: membership.Times(),
-			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Random: newRandom(),
 		},
 		Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
 	}
--- a/membership/core.go
+++ b/membership/core.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/magnoliashore/magnoliashore"
 )
 
 const (
@@ -412,6 +410,3 @@
 	}
 	return p.member, true
 }
-
-// Incarnation returns the incarnation of this host.
-func (c *Core) Incarnation() magnoliashore.Incarnation { return c.Self.Incarnation }
--- a/scatter/race.go
+++ b/scatter/race.go
@@ -31,14 +31,13 @@
 
 // shard is the course of one shard.
 type shard struct {
-	sends   int // attempts made so far
-	open    int // attempts without an outcome
-	sent    time.Time
-	in      bool // its part is in
-	lost    bool // it can give no part any more
-	ran     bool // an attempt may have run
-	remote  bool // another host asks it
-	refused int  // attempts that did not run
+	sends  int // attempts made so far
+	open   int // attempts without an outcome
+	sent   time.Time
+	in     bool // its part is in
+	lost   bool // it can give no part any more
+	ran    bool // an attempt may have run
+	remote bool // another host asks it
 }
 
 // Race is the course of one query. It is not safe for concurrent use.
@@ -92,9 +91,6 @@
 	s := &r.shards[i]
 	s.open--
 	s.ran = s.ran || ran
-	if !ran {
-		s.refused++
-	}
 	if s.in || s.remote {
 		return false
 	}
--- a/scatter/route.go
+++ b/scatter/route.go
@@ -13,9 +13,8 @@
 
 // Replica is a target of a shard that may be asked.
 type Replica struct {
-	Target magnoliashore.TargetID
-	Zone   magnoliashore.ZoneName
-	Cost   float64 // expected, relative to an idle one; the lower the better
+	Zone magnoliashore.ZoneName
+	Cost float64 // expected, relative to an idle one; the lower the better
 }
 
 // Batch is a set of shards that one host of a zone asks.
