perf(gateway): the number of hosts is counted without a search once it is settled

Each send asked twice how many hosts share a limit, and searched the hosts of the last 15 s for it: some ten thousand steps for a query over 90 shards among 59 hosts. Nothing of that search can matter when the members have not changed for 15 s. Targets of a service without a cold rate are not looked at one by one any more. Test: TestLostHostsCountForAWhile. No figure was measured.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -116,13 +116,13 @@
 
 // bearing returns the targets that bear one more request. The caller holds mu.
 func (e *Engine) bearing(now time.Time, targets []*catalog.Target, rate float64) []*catalog.Target {
-	bears := func(t *catalog.Target) bool {
-		return !cold(now, t, rate) || e.Cold.Allows(now, t.ID(), rate, admit.Sharing{Hosts: e.Hosts.Count(), Rank: e.Hosts.Rank(t.ID())})
-	}
-	if !slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !bears(t) }) {
+	if rate <= 0 {
 		return targets
 	}
-	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool { return !bears(t) })
+	return slices.DeleteFunc(slices.Clone(targets), func(t *catalog.Target) bool {
+		sharing := admit.Sharing{Hosts: e.Hosts.Count(), Rank: e.Hosts.Rank(t.ID())}
+		return cold(now, t, rate) && !e.Cold.Allows(now, t.ID(), rate, sharing)
+	})
 }
 
 // send makes an attempt and notes what it tells of the target.
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -132,6 +132,27 @@
 	}
 }
 
+// TestLostHostsCountForAWhile has one of three hosts go: limits are shared by
+// three until it is certain that it is not just out of reach.
+func TestLostHostsCountForAWhile(t *testing.T) {
+	t.Parallel()
+	all := []membership.Member{member("127.0.0.1:1", "a", 0), member("127.0.0.1:2", "a", 0), member("127.0.0.1:3", "a", 0)}
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	h := &hosts{
+		self: all[0], timer: &timer.Service{}, log: quiet,
+		links: make(map[string]*relay.Link), seen: make(map[string]time.Time),
+	}
+	h.update(all)
+	h.update(all[:2])
+	if got := h.Count(); got != 3 {
+		t.Errorf("got %d hosts right after one is lost, want 3", got)
+	}
+	h.updated = h.updated.Add(-remember - time.Second)
+	if got := h.Count(); got != 2 {
+		t.Errorf("got %d hosts long after, want 2", got)
+	}
+}
+
 func TestCallerAddresses(t *testing.T) {
 	t.Parallel()
 	members := []membership.Member{
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -32,6 +32,7 @@
 	members []membership.Member
 	links   map[string]*relay.Link
 	seen    map[string]time.Time // when a member was last known to run
+	updated time.Time            // when the members last changed
 }
 
 var _ Hosts = (*hosts)(nil)
@@ -41,13 +42,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.timer.Now()
-	for _, m := range h.members {
-		h.seen[m.Peer()] = now
-	}
-	h.members = members
-	for _, m := range members {
+	for _, m := range slices.Concat(h.members, members) {
 		h.seen[m.Peer()] = now
 	}
+	h.members, h.updated = members, now
 	linked := linkedTo(members, h.self.Peer())
 	for peer := range linked {
 		if h.links[peer] == nil {
@@ -161,13 +159,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.timer.Now()
-	count := len(h.members)
+	if now.Sub(h.updated) > remember {
+		return len(h.members) // asked for each send: the usual case takes no search
+	}
 	for peer, at := range h.seen {
 		if now.Sub(at) > remember {
 			delete(h.seen, peer)
 		}
 	}
-	return max(count, len(h.seen), 1)
+	return max(len(h.members), len(h.seen))
 }
 
 // callerAddresses returns the addresses to send callers of a zone to: those in
