refactor: the soak, the platform's stand-ins and try wait by the timer service

They read the clock and slept by the time package, beside the house rule that time comes from the timer service. Service gains Sleep. The older stand-ins in standin/ still do so.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,7 +26,7 @@
 			for n := i; ctx.Err() == nil; n++ {
 				p := r.site.Processes[n%len(r.site.Processes)]
 				r.askOne(ctx, &p.Host, paths[(n/len(r.site.Processes))%len(paths)])
-				time.Sleep(think)
+				clock.Sleep(think)
 			}
 		})
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -33,7 +33,7 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { s.call(ctx) })
 	for ctx.Err() == nil {
-		wait := time.NewTimer(time.Duration(s.random.Int64N(int64(mostGap))))
+		wait := clock.After(time.Duration(s.random.Int64N(int64(mostGap))))
 		select {
 		case <-wait.C:
 			s.inject(&faults)
@@ -61,7 +61,7 @@
 		r.disturb(length)
 		r.signal(p, syscall.SIGSTOP)
 		faults.Go(func() {
-			time.Sleep(length)
+			clock.Sleep(length)
 			r.signal(p, syscall.SIGCONT)
 		})
 	case 3:
@@ -80,7 +80,7 @@
 		target := r.site.Targets[t]
 		target.Behave(acts[r.random.IntN(len(acts))])
 		faults.Go(func() {
-			time.Sleep(length)
+			clock.Sleep(length)
 			target.Behave(standin.Behaviour{Work: 5 * time.Millisecond})
 		})
 	case 8:
@@ -100,7 +100,7 @@
 
 // extend does the same. The caller holds mu.
 func (r *Soak) extend(length time.Duration) {
-	if end := time.Now().Add(length + settle); end.After(r.disturbs) {
+	if end := clock.Now().Add(length + settle); end.After(r.disturbs) {
 		r.disturbs = end
 	}
 }
@@ -127,7 +127,7 @@
 			r.broken("host %s still runs %s after %s", p.Settings.Host, p.Settings.Grace+mostFault, signal)
 			return
 		}
-		time.Sleep(length / 4)
+		clock.Sleep(length / 4)
 		r.start(p)
 	})
 }
@@ -146,7 +146,7 @@
 func (r *Soak) trouble(faults *sync.WaitGroup, at int, t Trouble, length time.Duration) {
 	r.proxies[at].Set(t)
 	faults.Go(func() {
-		time.Sleep(length)
+		clock.Sleep(length)
 		r.proxies[at].Set(Trouble{})
 	})
 }
@@ -156,9 +156,9 @@
 	target := r.site.Targets[at]
 	r.mu.Lock()
 	_, leaving := r.leaving[target.ID]
-	calm := time.Now().After(r.disturbs)
+	calm := clock.Now().After(r.disturbs)
 	if !leaving {
-		r.leaving[target.ID] = time.Now()
+		r.leaving[target.ID] = clock.Now()
 	}
 	r.mu.Unlock()
 	if leaving {
@@ -168,10 +168,10 @@
 		r.broken("registering a target: %v", err)
 	}
 	faults.Go(func() {
-		time.Sleep(drain + time.Second)
+		clock.Sleep(drain + time.Second)
 		r.mu.Lock()
 		since := r.leaving[target.ID].Add(drain)
-		calm = calm && time.Now().After(r.disturbs)
+		calm = calm && clock.Now().After(r.disturbs)
 		delete(r.leaving, target.ID)
 		r.mu.Unlock()
 		for _, run := range target.Runs() {
@@ -213,7 +213,7 @@
 
 func (s checkStep) Run(context.Context) error {
 	// Requests that are still under way end within their patience.
-	time.Sleep(patience)
+	clock.Sleep(patience)
 	s.mu.Lock()
 	once, refused := s.once, s.refused
 	s.mu.Unlock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -119,7 +119,7 @@
 		n, err := from.Read(buffer)
 		t := p.state()
 		if t.Delay > 0 {
-			time.Sleep(time.Duration(rand.Int64N(int64(t.Delay))))
+			clock.Sleep(time.Duration(rand.Int64N(int64(t.Delay))))
 		}
 		if n > 0 && (!back || !t.Silence) {
 			if _, e := to.Write(buffer[:n]); e != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,8 +18,12 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/platform/standin"
+	"github.com/magnoliashore/magnoliashore/timer"
 )
 
+// clock is what all parts of a soak read and wait by.
+var clock timer.Service
+
 // Soak is one run. Set the exported fields before Run.
 type Soak struct {
 	Program string // path of the gateway program
@@ -145,13 +149,13 @@
 
 // allReady waits until every host says that it is ready.
 func (r *Soak) allReady(ctx context.Context, limit time.Duration) error {
-	deadline := time.Now().Add(limit)
+	deadline := clock.Now().Add(limit)
 	for _, p := range r.site.Processes {
 		for !p.Ready(ctx) {
-			if time.Now().After(deadline) {
+			if clock.Now().After(deadline) {
 				return errors.Newf("host %s is not ready after %s", p.Settings.Host, limit)
 			}
-			time.Sleep(poll)
+			clock.Sleep(poll)
 		}
 	}
 	return nil
@@ -164,7 +168,7 @@
 
 func (s recoverStep) Run(ctx context.Context) error {
 	s.heal()
-	deadline := time.Now().Add(recoverLimit)
+	deadline := clock.Now().Add(recoverLimit)
 	for streak := 0; streak < 10*len(s.site.Processes); {
 		p := s.site.Processes[streak%len(s.site.Processes)]
 		if s.askOne(ctx, &p.Host, standin.PathShards) {
@@ -172,11 +176,11 @@
 			continue
 		}
 		streak = 0
-		if time.Now().After(deadline) {
+		if clock.Now().After(deadline) {
 			s.broken("hosts do not answer every query %s after the last fault", recoverLimit)
 			return nil
 		}
-		time.Sleep(poll)
+		clock.Sleep(poll)
 	}
 	return nil
 }
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -51,6 +51,9 @@
 	return &Subscription{stop: func() { t.Stop() }}
 }
 
+// Sleep waits for delay.
+func (s *Service) Sleep(delay time.Duration) { <-s.After(delay).C }
+
 // Jitter returns a random duration between half of and one and a half times d.
 func Jitter(d time.Duration) time.Duration {
 	if d <= 0 {
--- a/try/platform.go
+++ b/try/platform.go
@@ -64,19 +64,19 @@
 			site.Targets[0].Behave(standin.Behaviour{Silence: true})
 		}
 		p.ask(ctx, site, i, &report)
-		time.Sleep(platformPause)
+		clock.Sleep(platformPause)
 	}
 	return report, nil
 }
 
 func (p *Platform) ready(ctx context.Context, site *standin.Site) error {
-	deadline := time.Now().Add(platformStart)
+	deadline := clock.Now().Add(platformStart)
 	for _, h := range site.Hosts {
 		for !h.Ready(ctx) {
-			if time.Now().After(deadline) {
+			if clock.Now().After(deadline) {
 				return errors.Newf("host %s is not ready after %s", h.Settings.Host, platformStart)
 			}
-			time.Sleep(platformPause)
+			clock.Sleep(platformPause)
 		}
 	}
 	return nil
