fix(registry): hosts do not follow each other in a circle in which none asks the store

The store turned both readers away. The other hosts asked the store, and through them the readers were up to date again; when the readers' 2 s of avoidance ended, all hosts went back to them, and until their knowledge was 2.5 s old nobody asked the store.

Ruled out: the watch of the store (it answered the hosts that it serves), the order of sources.

Change: an answer says through how many hosts it came. A reader has to read the store itself, the first host of a zone has to read from a reader; one that is further away answers at once, what it knows is taken, and the next source is asked. A try whether a better source is back does not change what a host says of itself.

--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -105,7 +105,7 @@
 	reading := make(map[magnoliashore.ZoneName]int)
 	crossing := make(map[magnoliashore.ZoneName]int)
 	for _, m := range members {
-		order := readOrder(members, m.Peer())
+		order := names(readOrder(members, m.Peer()))
 		if slices.Contains(order, m.Peer()) || !slices.Contains(order, registry.FromStore) {
 			t.Errorf("host %s: got order %v, want one with the store and without itself", m.Peer(), order)
 		}
@@ -127,11 +127,19 @@
 			t.Errorf("zone %s: got %d hosts that read across zones, want 1", zone, got)
 		}
 	}
-	if got := readOrder(members[:1], "0"); !slices.Equal(got, []string{registry.FromStore}) {
+	if got := names(readOrder(members[:1], "0")); !slices.Equal(got, []string{registry.FromStore}) {
 		t.Errorf("got order %v for a lone host, want the store", got)
 	}
 }
 
+func names(candidates []registry.Candidate) []string {
+	list := make([]string, len(candidates))
+	for i, c := range candidates {
+		list[i] = c.Name
+	}
+	return list
+}
+
 // TestLostHostsCountForAWhile has one of three hosts go: limits are shared by
 // three until it is certain that it is not just out of reach.
 func TestLostHostsCountForAWhile(t *testing.T) {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -159,8 +159,10 @@
 	client := registry.NewPeerClient()
 	return &registry.Selector{
 		Store: h.Source, Timer: h.Timer, Log: h.Log,
-		Dial:  func(address string) registry.Source { return &registry.Peer{Address: address, Client: client} },
-		Order: func() []string { return readOrder(h.members.Members(), h.Settings.Peer) },
+		Dial: func(host registry.Candidate) registry.Source {
+			return &registry.Peer{Address: host.Name, Client: client, Hops: host.Hops}
+		},
+		Order: func() []registry.Candidate { return readOrder(h.members.Members(), h.Settings.Peer) },
 	}
 }
 
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -196,35 +196,48 @@
 // availability zones, so that the loss of one leaves another.
 const readers = 2
 
+// Hosts through which an entry comes, the one that is asked included.
+const (
+	hopsOfReader = 1
+	hopsOfHead   = 2 // the first host of a zone asks a reader
+)
+
 // readOrder returns where this host reads entries from, the best first. Few
 // hosts, the readers, read the store. The first host of each zone follows a
 // reader, and the others of the zone follow that one, so that entries cross
 // between zones once. The rest of the order serves when those are out of touch
 // with the store: the store itself, and the first hosts of other zones.
-func readOrder(members []membership.Member, self string) []string {
+func readOrder(members []membership.Member, self string) []registry.Candidate {
 	heads, own := zoneHeads(members, self)
 	first := heads[:min(readers, len(heads))]
 	reads := slices.ContainsFunc(first, func(m membership.Member) bool { return m.Peer() == self })
-	var order []string
-	add := func(peer string) {
-		if peer != self && !slices.Contains(order, peer) {
-			order = append(order, peer)
+	var order []registry.Candidate
+	add := func(name string, hops int) {
+		known := slices.ContainsFunc(order, func(c registry.Candidate) bool { return c.Name == name })
+		if name != self && !known {
+			order = append(order, registry.Candidate{Name: name, Hops: hops})
+		}
+	}
+	hops := func(m membership.Member) int {
+		if slices.ContainsFunc(first, func(r membership.Member) bool { return r.Peer() == m.Peer() }) {
+			return hopsOfReader
 		}
+		return hopsOfHead
 	}
 	if reads {
-		add(registry.FromStore)
+		add(registry.FromStore, 0)
 	}
 	for _, m := range heads {
 		if m.Zone() == own && !reads {
-			add(m.Peer())
+			add(m.Peer(), hops(m))
 		}
 	}
 	for _, m := range first {
-		add(m.Peer())
+		add(m.Peer(), hopsOfReader)
 	}
-	add(registry.FromStore)
+	add(registry.FromStore, 0)
 	for _, m := range heads {
-		add(m.Peer())
+		add(m.Peer(), hops(m))
 	}
 	return order
 }
--- /dev/null
+++ b/registry/circle_test.go
@@ -0,0 +1,172 @@
+package registry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/registry"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// applyBound is the time in which a host puts a new configuration in force
+// (`configApplyMs` of the deployments).
+const applyBound = 3 * time.Second
+
+// versions decodes the number of a configuration.
+type versions struct{}
+
+func (versions) Decode(item registry.Item, _ time.Time) (registry.Fact, error) {
+	n, err := strconv.ParseUint(string(item.Value), 10, 64)
+	if err != nil {
+		return registry.Fact{}, errors.Wrap(err, "reading a version")
+	}
+	return registry.Fact{Config: catalog.NewConfig(catalog.ConfigSpec{Version: magnoliashore.Version(n)})}, nil
+}
+
+// changingStore is a store with one key, which changes at a fixed period. It
+// may turn hosts away.
+type changingStore struct {
+	began  time.Time
+	period time.Duration
+
+	mu   sync.Mutex
+	away map[string]bool
+}
+
+// written returns when a revision came into being.
+func (s *changingStore) written(revision uint64) time.Time {
+	return s.began.Add(time.Duration(revision-1) * s.period)
+}
+
+func (s *changingStore) turnAway(hosts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = make(map[string]bool)
+	for _, host := range hosts {
+		s.away[host] = true
+	}
+}
+
+func (s *changingStore) read(host string) (registry.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away[host] {
+		return registry.Batch{}, errors.New("turned away")
+	}
+	revision := uint64(time.Since(s.began)/s.period) + 1
+	value := strconv.FormatUint(revision, 10)
+	return batch(revision, item("op/config", value, revision)), nil
+}
+
+// storeOf is the store as one host reads it.
+type storeOf struct {
+	store *changingStore
+	host  string
+}
+
+func (s *storeOf) List(context.Context) (registry.Batch, error) { return s.store.read(s.host) }
+
+// Watch answers at the next change.
+func (s *storeOf) Watch(ctx context.Context, after uint64) (registry.Batch, error) {
+	select {
+	case <-time.After(time.Until(s.store.written(after + 1))):
+	case <-ctx.Done():
+		return registry.Batch{}, ctx.Err()
+	}
+	return s.store.read(s.host)
+}
+
+// following is one host of a fleet whose first two hosts read the store.
+type following struct {
+	reader  *registry.Reader
+	address string
+}
+
+// newFleet starts hosts that follow a store.
+func newFleet(t *testing.T, store *changingStore, size int) []*following {
+	t.Helper()
+	fleet := make([]*following, size)
+	client := registry.NewPeerClient()
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	for i := range fleet {
+		f := &following{}
+		mux := http.NewServeMux()
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		f.address = strings.TrimPrefix(server.URL, "http://")
+		f.reader = &registry.Reader{
+			Book: &registry.Book{Decoder: versions{}, Lapse: lapse},
+			Source: &registry.Selector{
+				Store: &storeOf{store: store, host: fmt.Sprint("h", i)}, Timer: &timer.Service{}, Log: quiet,
+				Dial: func(host registry.Candidate) registry.Source {
+					return &registry.Peer{Address: host.Name, Client: client, Hops: host.Hops}
+				},
+				Order: func() []registry.Candidate { return order(fleet, i) },
+			},
+			Timer: &timer.Service{}, Log: quiet,
+		}
+		mux.Handle(registry.Path, &registry.Server{Reader: f.reader})
+		fleet[i] = f
+	}
+	for _, f := range fleet {
+		go func() { _ = f.reader.Run(t.Context()) }()
+	}
+	return fleet
+}
+
+// order has the first two hosts read the store, and the others read from them.
+func order(fleet []*following, self int) []registry.Candidate {
+	var names []string
+	if self < 2 {
+		names = append(names, registry.FromStore)
+	}
+	for i, f := range fleet {
+		if i == 2 && self >= 2 {
+			names = append(names, registry.FromStore)
+		}
+		if i != self {
+			names = append(names, f.address)
+		}
+	}
+	return candidates(names...)
+}
+
+// TestReadersTurnedAwayMakeNoCircle has the store turn away both readers and
+// one more host, and serve the others, while the configuration changes all the
+// time. The others must not go back to the readers, which know only what those
+// told them.
+func TestReadersTurnedAwayMakeNoCircle(t *testing.T) {
+	t.Parallel()
+	store := &changingStore{began: time.Now(), period: 50 * time.Millisecond}
+	fleet := newFleet(t, store, 6)
+	time.Sleep(time.Second)
+	store.turnAway("h0", "h1", "h2")
+	worst := time.Duration(0)
+	for range 160 {
+		time.Sleep(50 * time.Millisecond)
+		for i, f := range fleet {
+			config := f.reader.View().Config()
+			if config == nil {
+				t.Fatalf("host %d: got no configuration after a second", i)
+			}
+			worst = max(worst, time.Since(store.written(uint64(config.Version())+1)))
+		}
+	}
+	if worst > applyBound {
+		t.Errorf("got a host %s behind the store, want %s at most", worst, applyBound)
+	}
+	t.Logf("the host furthest behind: %s", worst)
+}
--- a/registry/peer.go
+++ b/registry/peer.go
@@ -33,12 +33,16 @@
 	Items    []wireItem
 	Revision uint64
 	Age      int64 // milliseconds since the store was last heard
+	Hops     int
 }
 
 // Peer is another host as a source.
 type Peer struct {
 	Address string // ip:port
 	Client  *http.Client
+	// Hops is through how many hosts its answers may come. If they come
+	// through more, the host answers at once.
+	Hops int
 }
 
 var _ Source = (*Peer)(nil)
@@ -54,7 +58,7 @@
 
 // Watch returns the items that the host knows to have changed.
 func (p *Peer) Watch(ctx context.Context, after uint64) (Batch, error) {
-	return p.call(ctx, "?after="+strconv.FormatUint(after, 10))
+	return p.call(ctx, "?after="+strconv.FormatUint(after, 10)+"&hops="+strconv.Itoa(p.Hops))
 }
 
 func (p *Peer) call(ctx context.Context, query string) (Batch, error) {
@@ -66,7 +70,7 @@
 }
 
 func encodeBatch(b Batch) ([]byte, error) {
-	w := wireBatch{Items: make([]wireItem, len(b.Items)), Revision: b.Revision, Age: b.Age.Milliseconds()}
+	w := wireBatch{Items: make([]wireItem, len(b.Items)), Revision: b.Revision, Age: b.Age.Milliseconds(), Hops: b.Hops}
 	for i, item := range b.Items {
 		w.Items[i] = wireItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
 	}
@@ -79,7 +83,7 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Batch{}, errors.Wrap(err, "decoding a host's entries")
 	}
-	b := Batch{Items: make([]Item, len(w.Items)), Revision: w.Revision, Age: time.Duration(w.Age) * time.Millisecond}
+	b := Batch{Items: make([]Item, len(w.Items)), Revision: w.Revision, Age: time.Duration(w.Age) * time.Millisecond, Hops: w.Hops}
 	for i, item := range w.Items {
 		b.Items[i] = Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
 	}
@@ -115,13 +119,17 @@
 }
 
 func (s *Server) batch(r *http.Request) (Batch, error) {
-	field := r.URL.Query().Get("after")
-	if field == "" {
+	query := r.URL.Query()
+	if !query.Has("after") {
 		return s.Reader.all()
 	}
-	after, err := strconv.ParseUint(field, 10, 64)
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	if err != nil {
-		return Batch{}, errors.Wrapf(err, "reading the revision %q", field)
+		return Batch{}, errors.Wrapf(err, "reading the revision %q", query.Get("after"))
 	}
-	return s.Reader.after(r.Context(), after, peerWait)
+	hops, err := strconv.Atoi(query.Get("hops"))
+	if err != nil {
+		return Batch{}, errors.Wrapf(err, "reading the number of hops %q", query.Get("hops"))
+	}
+	return s.Reader.after(r.Context(), after, hops, peerWait)
 }
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -22,9 +22,6 @@
 	lastRetry   = 800 * time.Millisecond // leaves time to apply a change within its bound
 )
 
-// errStale says that a host was asked that has lost the store itself.
-var errStale = errors.New("the source is out of touch with the store")
-
 // Reader keeps a book up to date from a source. Set the exported fields
 // before Run.
 type Reader struct {
@@ -44,6 +41,7 @@
 	changed chan struct{} // closed at the next change
 	lapse   *timer.Subscription
 	heard   time.Time // when the source last answered
+	hops    int       // hosts between this one and the store, at the latest call
 	lost    bool
 }
 
@@ -115,35 +113,32 @@
 		return r.list(ctx)
 	}
 	batch, err := r.Source.Watch(ctx, revision)
+	r.noteHops(batch)
 	if errors.Is(err, ErrHistory) {
 		r.Log.WithField("revision", revision).Info("history is gone; listing everything")
 		return r.list(ctx)
 	}
-	if err != nil {
-		return err
-	}
-	r.take(batch.Age, func(now time.Time) []Change { return r.Book.Apply(now, batch) })
-	if batch.Age > staleAge {
-		return errStale
+	if answered(err) {
+		r.take(batch, func(now time.Time) []Change { return r.Book.Apply(now, batch) })
 	}
-	return nil
+	return err
 }
 
 func (r *Reader) list(ctx context.Context) error {
 	batch, err := r.Source.List(ctx)
-	if err != nil {
-		return err
+	r.noteHops(batch)
+	if answered(err) {
+		r.take(batch, func(now time.Time) []Change { return r.Book.Replace(now, batch) })
 	}
-	r.take(batch.Age, func(now time.Time) []Change { return r.Book.Replace(now, batch) })
-	return nil
+	return err
 }
 
-// take applies an answer of the source, which heard the store age ago.
-func (r *Reader) take(age time.Duration, apply func(now time.Time) []Change) {
+// take applies an answer of the source.
+func (r *Reader) take(batch Batch, apply func(now time.Time) []Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Timer.Now()
-	r.noteHeard(now.Add(-age))
+	r.noteHeard(now.Add(-batch.Age))
 	changes := apply(now)
 	for _, c := range changes {
 		r.logChange(c)
@@ -161,19 +156,27 @@
 		return Batch{}, errors.New("nothing is known yet")
 	}
 	batch := r.Book.All()
-	batch.Age = r.Timer.Now().Sub(r.heard)
+	r.stamp(&batch)
 	return batch, nil
 }
 
+// stamp says how near to the store a batch for another host is. The caller
+// holds mu.
+func (r *Reader) stamp(batch *Batch) {
+	batch.Age = r.Timer.Now().Sub(r.heard)
+	batch.Hops = r.hops + 1
+}
+
 // after returns the changes after a revision for another host. It waits for
-// one at most for the given time.
-func (r *Reader) after(ctx context.Context, revision uint64, wait time.Duration) (Batch, error) {
+// one at most for the given time, and not at all if this host is so far from
+// the store that its answers come through more hosts than hops.
+func (r *Reader) after(ctx context.Context, revision uint64, hops int, wait time.Duration) (Batch, error) {
 	over := r.Timer.After(wait)
 	defer over.Stop()
 	for waited := false; ; {
 		batch, changed, err := r.changes(revision)
 		// A host that is out of touch with the store says so at once.
-		if err != nil || len(batch.Items) > 0 || waited || batch.Age > staleAge {
+		if err != nil || len(batch.Items) > 0 || waited || batch.Age > staleAge || batch.Hops > hops {
 			return batch, err
 		}
 		select {
@@ -190,7 +193,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	batch, err := r.Book.After(revision)
-	batch.Age = r.Timer.Now().Sub(r.heard)
+	r.stamp(&batch)
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
@@ -223,6 +226,14 @@
 	})
 }
 
+// noteHops notes how far this host is from the store after a call, also after
+// one that failed.
+func (r *Reader) noteHops(batch Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hops = batch.Hops
+}
+
 func (r *Reader) noteHeard(at time.Time) {
 	if r.lost && r.Timer.Now().Sub(at) <= staleAge {
 		r.Log.WithField("revision", r.Book.Revision()).Info("entries are read again")
@@ -236,7 +247,7 @@
 func (r *Reader) noteLost(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.lost {
+	if !r.lost && !errors.Is(err, errFar) {
 		r.lost = true
 		r.Log.WithError(err).WithField("revision", r.Book.Revision()).Warn("entries cannot be read")
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -28,6 +28,7 @@
 	Items    []Item
 	Revision uint64
 	Age      time.Duration // since the store was heard; zero if it gave the batch itself
+	Hops     int           // hosts that the batch came through; zero if the store gave it
 }
 
 // ErrHistory says that the changes after a revision are no longer known, so
--- a/registry/selector_test.go
+++ b/registry/selector_test.go
@@ -23,11 +23,12 @@
 	asked *[]string
 	err   error
 	age   time.Duration
+	hops  int
 }
 
 func (s *source) List(context.Context) (registry.Batch, error) {
 	*s.asked = append(*s.asked, s.name)
-	return registry.Batch{Age: s.age}, s.err
+	return registry.Batch{Age: s.age, Hops: s.hops}, s.err
 }
 
 func (s *source) Watch(ctx context.Context, _ uint64) (registry.Batch, error) { return s.List(ctx) }
@@ -46,18 +47,27 @@
 	}
 	s.selector = &registry.Selector{
 		Store: s.sources["store"],
-		Dial:  func(address string) registry.Source { return s.sources[address] },
-		Order: func() []string {
+		Dial:  func(host registry.Candidate) registry.Source { return s.sources[host.Name] },
+		Order: func() []registry.Candidate {
 			if reads {
-				return []string{registry.FromStore, "h1", "h2"}
+				return candidates(registry.FromStore, "h1", "h2")
 			}
-			return []string{"h1", "h2", registry.FromStore, "h3"}
+			return candidates("h1", "h2", registry.FromStore, "h3")
 		},
 		Timer: &timer.Service{}, Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 	}
 	return s
 }
 
+// candidates are hosts that are to read the store themselves, and the store.
+func candidates(names ...string) []registry.Candidate {
+	list := make([]registry.Candidate, len(names))
+	for i, name := range names {
+		list[i] = registry.Candidate{Name: name, Hops: 1}
+	}
+	return list
+}
+
 // watch makes calls, and returns which sources they went to.
 func (s *selection) watch(t *testing.T, calls int) []string {
 	t.Helper()
@@ -133,6 +143,16 @@
 	wantAsked(t, s.watch(t, 5), "h1", "h2", "store", "h3", "h3")
 }
 
+// TestReaderThatFollowsOthersIsLeft has a reader that the store turns away,
+// and that knows only what other hosts tell it.
+func TestReaderThatFollowsOthersIsLeft(t *testing.T) {
+	t.Parallel()
+	s := newSelection(false)
+	s.sources["h1"].hops = 2
+	s.sources["h2"].hops = 1
+	wantAsked(t, s.watch(t, 3), "h1", "h2", "h2")
+}
+
 // once lists one item, and never answers again.
 type once struct{ listed bool }
 
@@ -159,7 +179,7 @@
 	go func() { _ = reader.Run(t.Context()) }()
 	server := httptest.NewServer(&registry.Server{Reader: reader})
 	t.Cleanup(server.Close)
-	peer := &registry.Peer{Address: strings.TrimPrefix(server.URL, "http://"), Client: http.DefaultClient}
+	peer := &registry.Peer{Address: strings.TrimPrefix(server.URL, "http://"), Client: http.DefaultClient, Hops: 1}
 	time.Sleep(2700 * time.Millisecond)
 	began := time.Now()
 	got, err := peer.Watch(t.Context(), 1)
