fix(target): a dial that the transport cancels keeps its place in the target's limit

Cause: TestConnsLimit counted 4 connections at a target that accepts 3. Closing the idle connections of a retired link also cancels dials whose request has been served by another connection. The kernel may have made the connection by then; the dial gave its place back at once, while the target still held the connection.

Change: a connection that has its place is opened without regard to the cancellation; the transport then keeps or closes it, and a close waits for the target as always.

--- a/target/link.go
+++ b/target/link.go
@@ -65,7 +65,7 @@
 	if err := l.quota.take(ctx, l.conns); err != nil {
 		return nil, magnoliashore.Step(err, "wait for a connection", l.target.Address())
 	}
-	raw, err := l.dialer.DialContext(ctx, network, l.target.Address())
+	raw, err := l.connect(ctx, network)
 	if err != nil {
 		l.quota.give()
 		return nil, magnoliashore.Step(err, "dial target", l.target.Address())
@@ -75,6 +75,15 @@
 	return &conn{Conn: raw, link: l, opened: l.clock.Now(), done: make(chan struct{})}, nil
 }
 
+// connect opens a connection. It goes on when ctx is cancelled: the target may
+// hold the connection already, and an abandoned one would have no place in the
+// target's limit.
+func (l *link) connect(ctx context.Context, network string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.wait)
+	defer cancel()
+	return l.dialer.DialContext(ctx, network, l.target.Address())
+}
+
 // retire ends new work; what runs may finish.
 func (l *link) retire() {
 	l.retired.Store(true)
