feat(origin): long bodies of requests and answers are passed on as they come

Bodies were held whole, up to the configuration's bound for requests and 16 MiB for answers: a few long ones at once could take the memory of a host, and a long request was refused only when the caller had sent all of it.

256 KiB of a request and 1 MiB of an answer are held; what follows is streamed. A streamed request goes to one target only, since its rest can be read once; a body that breaks off closes the target's connection, so that it is not taken for the whole one. A streamed answer that breaks off closes the caller's connection. Bodies over shards stay whole within their bounds: every shard needs the request, and the merge the answer.

Weighed: streaming every body. Dropped, because a slow caller would occupy one of the few connections of a target, and a target that breaks off could not be replaced.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -24,6 +24,7 @@
 	comeBackSoon    = 50 * time.Millisecond  // when to come back after a refusal that should not last
 	comeBackLater   = 500 * time.Millisecond // when to come back while a configuration or targets are missing
 	defaultBody     = 1 << 20                // bytes, while no configuration states a limit
+	heldBody        = 256 << 10              // bytes of a request that are held, so that it can be repeated and a slow caller holds no target
 )
 
 // Handler serves the requests of callers.
@@ -63,16 +64,32 @@
 		return
 	}
 	began := h.Engine.Timer.Now()
-	body, ok := h.body(w, r, view.Config().Limits())
+	body, stream, ok := h.body(w, r, view.Config().Limits(), route.Scatters())
 	if !ok {
 		return
 	}
-	h.serve(w, r, route, began, body)
+	q := h.query(r, route, began, body)
+	if stream != nil {
+		q.request.Stream = stream
+		q.terms.Once = true
+		defer h.endStream(w, r, stream)
+	}
+	h.serve(w, r, route, q)
+}
+
+// endStream ends a read of the caller's body that an attempt still waits in:
+// the server would wait for it.
+func (h *Handler) endStream(w http.ResponseWriter, r *http.Request, stream *origin.Stream) {
+	if !stream.Begun() || stream.Done() {
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)); err != nil {
+		h.note(r, "error", err.Error()).Warn("cannot end the reading of a request body")
+	}
 }
 
 // serve runs the request and writes its answer.
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, route *catalog.Route, began time.Time, body []byte) {
-	q := h.query(r, route, began, body)
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, route *catalog.Route, q *query) {
 	if !h.possible(q) {
 		// Targets take longer to come back than a queue takes to drain.
 		most := time.Duration(returnShare * float64(q.terms.Timeout))
@@ -93,17 +110,33 @@
 	}
 	run, cancel := h.Engine.start(r.Context(), q)
 	verdict, ok := run.wait(r.Context())
-	run.end(cancel, !ok)
 	admitted.leave(ok && run.overloaded(h.Engine.Timer.Now(), route.Objective()))
-	took := h.Engine.Timer.Now().Sub(began)
+	took := h.Engine.Timer.Now().Sub(q.began)
 	if !ok {
+		run.end(cancel, true)
 		h.Engine.Metrics.abandoned.Inc()
 		h.logRun(r, route, run, "caller left", took)
 		return
 	}
+	if stream := q.request.Stream; stream != nil && !stream.Done() {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+	}
 	status := h.answer(w, run, verdict)
+	tail := run.tail()
+	if tail == nil {
+		run.end(cancel, false)
+	}
 	h.Engine.Metrics.answers.Update(took.Seconds())
 	h.logRun(r, route, run, strconv.Itoa(status), took)
+	if tail == nil {
+		return
+	}
+	err := tail.Copy(r.Context(), w)
+	run.end(cancel, false)
+	if err != nil {
+		h.note(r, "error", err.Error()).Info("a long answer broke off; closing the caller's connection")
+		panic(http.ErrAbortHandler) // the server's way to show the caller that the answer is incomplete
+	}
 }
 
 // admit waits until a query may run. It returns false, and when the caller is
@@ -130,9 +163,9 @@
 	q := &query{
 		request: origin.Request{
 			Method: r.Method, URI: uri(r), Host: r.Host, Header: endToEnd(r.Header), Body: body,
-			ID: terms.ID, Rank: route.Priority(),
+			ID: terms.ID, Rank: route.Priority(), Follows: !route.Scatters(),
 		},
-		kind: route.Name(), deadline: deadline, terms: termsOf(route, max(patience-answerMargin, patience/2)),
+		began: began, kind: route.Name(), deadline: deadline, terms: termsOf(route, max(patience-answerMargin, patience/2)),
 		best: route.Best(), scatters: route.Scatters(), delegate: route.Scatters(),
 	}
 	q.services = route.Shards()
@@ -173,6 +206,9 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(records)))
 		_, _ = w.Write(records) // the caller has left if it fails
 		return http.StatusOK
+	case run.broken() != nil:
+		m.failed.Inc()
+		return deny(w, statusOf(run.broken()), 0)
 	case run.last != nil && !run.query.scatters:
 		m.failed.Inc()
 		return write(w, run.last)
@@ -200,7 +236,12 @@
 	if _, ok := header["Date"]; !ok {
 		header["Date"] = nil
 	}
-	header.Set("Content-Length", strconv.Itoa(len(result.Body)))
+	switch {
+	case result.Tail == nil:
+		header.Set("Content-Length", strconv.Itoa(len(result.Body)))
+	case result.Tail.Length() >= 0:
+		header.Set("Content-Length", strconv.FormatInt(int64(len(result.Body))+result.Tail.Length(), 10))
+	}
 	w.WriteHeader(result.Status)
 	_, _ = w.Write(result.Body) // the caller has left if it fails
 	return result.Status
@@ -226,28 +267,57 @@
 	deny(w, http.StatusServiceUnavailable, after)
 }
 
-// body reads the whole body of a request. It returns false if the request is
-// answered.
-func (h *Handler) body(w http.ResponseWriter, r *http.Request, limits catalog.Limits) ([]byte, bool) {
+// body reads the body of a request. A long one is read to its end only if it
+// has to be held whole; else the rest is returned as a stream. body returns
+// false if the request is answered.
+func (h *Handler) body(
+	w http.ResponseWriter, r *http.Request, limits catalog.Limits, whole bool,
+) ([]byte, *origin.Stream, bool) {
 	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, true
+	if r.ContentLength > limit {
+		h.unread(w, r, &http.MaxBytesError{Limit: limit})
+		return nil, nil, false
 	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		h.note(r, "limit", limit).Info("request body is too large")
-		deny(w, http.StatusRequestEntityTooLarge, 0)
-		return nil, false
+	source := http.MaxBytesReader(nil, r.Body, limit) // nil: an attempt must not touch w
+	held := limit
+	if !whole {
+		held = min(limit, heldBody)
+	}
+	body, err := io.ReadAll(io.LimitReader(source, held+1))
+	if err != nil {
+		h.unread(w, r, err)
+		return nil, nil, false
+	}
+	if int64(len(body)) <= held {
+		return body, nil, true
+	}
+	// The server must not read the rest itself when the answer begins.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		h.unread(w, r, err)
+		return nil, nil, false
 	}
+	return body, origin.NewStream(source, max(r.ContentLength-int64(len(body)), -1)), true
+}
+
+// unread answers a request of which the body cannot be read.
+func (h *Handler) unread(w http.ResponseWriter, r *http.Request, err error) {
+	h.note(r, "error", err.Error()).Info("request body cannot be read")
 	if r.Context().Err() == nil {
-		h.note(r, "error", err.Error()).Info("request body cannot be read")
-		deny(w, http.StatusBadRequest, 0)
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		deny(w, statusOf(err), 0)
+	}
+}
+
+// statusOf returns the status for a body that cannot be read.
+func statusOf(err error) int {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return http.StatusRequestEntityTooLarge
 	}
-	return nil, false
+	return http.StatusBadRequest
 }
 
 // logRun writes the line of a request that was run.
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -28,7 +28,8 @@
 )
 
 const (
-	maxAnswer     = 16 << 20                // bytes of a target's answer
+	maxAnswer     = 16 << 20                // bytes of a target's answer that has to be held whole
+	heldAnswer    = 1 << 20                 // bytes of an answer that is held, so that a target that breaks off can be replaced
 	stopMargin    = 700 * time.Millisecond  // before the end of the grace, for the last answers
 	refuseAfter   = 2500 * time.Millisecond // into a stop: requests are to be sent to other hosts by then
 	directoryTime = 2 * time.Second         // for which callers keep addresses
@@ -133,7 +134,7 @@
 	}
 	h.engine = &Engine{
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.Metrics,
-		Pool:   &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswer},
+		Pool:   &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswer, Held: heldAnswer},
 		Book:   &balance.Book{Zone: s.Zone, Random: newRandom()},
 		Budget: &retry.Budget{Limit: s.Retries},
 		Cold:   &admit.Cold{Limit: s.Cold},
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -20,6 +20,7 @@
 // each shard.
 type query struct {
 	request  origin.Request
+	began    time.Time
 	kind     string // requests of a kind take about the same time
 	services []magnoliashore.ServiceName
 	terms    scatter.Terms
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -162,7 +162,8 @@
 	if r.reached[i] || r.race.Open(i) > 1 {
 		why = repeatSend
 	}
-	if r.race.Missed(i, !result.NotRun()) && r.ask(i, why) {
+	spent := r.query.request.Stream != nil && r.query.request.Stream.Begun()
+	if r.race.Missed(i, !result.NotRun()) && !spent && r.ask(i, why) {
 		return
 	}
 	r.race.Lose(i)
@@ -213,6 +214,23 @@
 	r.fresh++
 }
 
+// tail returns what follows the answer; nil if the answer is whole.
+func (r *run) tail() *origin.Tail {
+	if r.whole == nil {
+		return nil
+	}
+	return r.whole.Tail
+}
+
+// broken returns why the caller's body could not be read to its end; nil if it
+// has not failed.
+func (r *run) broken() error {
+	if r.query.request.Stream == nil {
+		return nil
+	}
+	return r.query.request.Stream.Err()
+}
+
 // takeBundle notes what a batch brought. A bundle with a shard of a former one
 // is left out as a whole: its records cannot be told apart.
 func (r *run) takeBundle(ev event) {
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -41,14 +41,31 @@
 		result.Err = errors.CombineErrors(errCanceled, context.Cause(ctx))
 	}
 	result.Took = p.Timer.Now().Sub(started)
-	if interrupted || result.Status == 0 {
+	switch {
+	case interrupted || result.Status == 0:
 		_ = c.Close()
 		l.release()
-		return result
+	case result.Tail != nil:
+		result.Tail.keep(ctx, func(whole bool) {
+			if !whole {
+				_ = c.Close()
+				l.release()
+				return
+			}
+			p.settle(l, c)
+		})
+	default:
+		p.settle(l, c)
 	}
+	return result
+}
+
+// settle gives a connection back after an answer. A target that has answered
+// early may still read the rest of the request.
+func (p *Pool) settle(l *line, c *conn) {
 	if c.writing == nil {
 		p.finish(l, c)
-		return result
+		return
 	}
 	_ = c.SetWriteDeadline(p.Timer.Now().Add(lateBody))
 	go func() {
@@ -58,7 +75,6 @@
 		c.writing = nil
 		p.finish(l, c)
 	}()
-	return result
 }
 
 // finish gives a connection back after a complete answer.
@@ -80,10 +96,13 @@
 // run writes the request and reads its answer. A target may answer before it
 // has read the whole body, so both go on at the same time if the body is long.
 func (p *Pool) run(c *conn, req Request, send Send) Result {
+	if req.Stream != nil && req.Stream.begun.Swap(true) {
+		return Result{Err: errSpent}
+	}
 	opened := !c.used
 	c.used = true
 	head := p.head(req, send)
-	if len(req.Body) <= shortBody {
+	if len(req.Body) <= shortBody && req.Stream == nil {
 		_, err := c.Write(append(head, req.Body...))
 		if err != nil {
 			// The target may have refused on the way; its answer counts.
@@ -96,10 +115,7 @@
 		return result
 	}
 	written := make(chan error, 1)
-	go func() {
-		_, err := c.Write(append(head, req.Body...))
-		written <- err
-	}()
+	go func() { written <- writeBody(c, head, req) }()
 	c.writing = written
 	result := p.read(c, req)
 	result.Sent, result.Opened = true, opened
@@ -116,7 +132,12 @@
 	b.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	header := req.Header.Clone()
 	p.Dialect.Order(header, magnoliashore.TargetTerms{Patience: send.Patience, Target: send.Target.ID()})
-	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch {
+	switch {
+	case req.Stream != nil && req.Stream.length < 0:
+		header.Set("Transfer-Encoding", "chunked")
+	case req.Stream != nil:
+		header.Set("Content-Length", strconv.FormatInt(int64(len(req.Body))+req.Stream.length, 10))
+	case len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch:
 		header.Set("Content-Length", strconv.Itoa(len(req.Body)))
 	}
 	// A bytes.Buffer takes all writes.
@@ -136,6 +157,9 @@
 			c.proof = result.Reply.Proof
 			return result
 		}
+		if result.Tail != nil {
+			break // passing over the rest may take long
+		}
 	}
 	return Result{Err: errStray}
 }
@@ -149,29 +173,40 @@
 	return result.Reply.Proof != "" && result.Reply.Proof == c.proof
 }
 
-// answer reads one complete answer.
+// answer reads one complete answer, or the first bytes of a long one if the
+// rest may follow.
 func (p *Pool) answer(c *conn, req Request) Result {
 	resp, err := p.final(c, req)
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "reading the answer of the target")}
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, p.MaxBody+1))
+	follows := req.Follows && p.Held > 0 && resp.StatusCode < http.StatusMultipleChoices
+	limit := p.MaxBody
+	if follows {
+		limit = p.Held
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "reading the body of the target's answer")}
 	}
-	if int64(len(body)) > p.MaxBody {
-		_ = c.Close() // the rest of the body is not read
-		return Result{Err: errLarge}
-	}
 	if resp.Close {
 		c.closing = true
 	}
 	c.keep = keepAlive(resp.Header)
-	return Result{
+	result := Result{
 		Status: resp.StatusCode, Header: resp.Header, Body: body,
 		Reply: p.Dialect.Reply(resp.StatusCode, resp.Header),
 	}
+	switch {
+	case int64(len(body)) <= limit:
+		_ = resp.Body.Close()
+	case follows:
+		result.Tail = &Tail{body: resp.Body, conn: c, length: max(resp.ContentLength-int64(len(body)), -1)}
+	default:
+		_ = c.Close() // the rest of the body is not read
+		return Result{Err: errLarge}
+	}
+	return result
 }
 
 // final returns the answer after any interim ones.
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -25,8 +25,11 @@
 	Host   string
 	Header http.Header // without fields that concern one connection
 	Body   []byte
-	ID     string // that targets repeat
-	Rank   int    // zero is the most urgent
+	Stream *Stream // what follows Body; nil if Body is whole
+	ID     string  // that targets repeat
+	Rank   int     // zero is the most urgent
+	// Follows says that the rest of a long answer may follow as a Tail.
+	Follows bool
 }
 
 // Send says how one attempt is made.
@@ -39,9 +42,10 @@
 
 // Result is the outcome of an exchange.
 type Result struct {
-	Status int // zero if there is no complete answer
+	Status int // zero if there is no answer
 	Header http.Header
 	Body   []byte
+	Tail   *Tail // what follows Body; nil if Body is whole
 	Reply  magnoliashore.TargetReply
 	Sent   bool // a byte of the request may have reached the target
 	Opened bool // the request needed a new connection
@@ -62,7 +66,10 @@
 type Pool struct {
 	Dialect magnoliashore.Dialect
 	Timer   *timer.Service
-	MaxBody int64 // bytes of an answer
+	MaxBody int64 // bytes of an answer that is held whole
+	// Held is how many bytes of an answer are held before they are passed on,
+	// if its rest may follow; zero for MaxBody.
+	Held int64
 
 	mu    sync.Mutex
 	lines map[magnoliashore.TargetID]*line
