feat(scatter): shards of a batch whose host is lost are asked directly

A query over shards gave up all shards of a batch when the connection to its host broke, so a host that dies took the queries of others with it.

Change: shards without a part are asked from the root, inside the retry budget and the route's attempts. After the hedging moment the lost host may have asked twice, which counts as an attempt. Requests that may run once are not sent again.

Tried and dropped: the same for a host that is silent at the moment of the answer.

--- /dev/null
+++ b/gateway/batch_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/scatter"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+// signing is a dialect in which each answer is signed.
+type signing struct{}
+
+func (signing) Caller(http.Header) magnoliashore.CallerTerms    { return magnoliashore.CallerTerms{} }
+func (signing) Order(http.Header, magnoliashore.TargetTerms)    {}
+func (signing) Coverage(h http.Header, p []string, missing int) {}
+func (signing) Signature(proof string) bool                     { return proof != "" }
+func (signing) Reply(_ int, h http.Header) magnoliashore.TargetReply {
+	return magnoliashore.TargetReply{Proof: h.Get("Proof"), NotRun: h.Get("Refused") != ""}
+}
+
+// oneHelper is a host of another zone that takes batches.
+type oneHelper struct {
+	alone
+	link *relay.Link
+}
+
+func (h oneHelper) Helpers() map[magnoliashore.ZoneName][]scatter.Helper {
+	return map[magnoliashore.ZoneName][]scatter.Helper{"b": {{Peer: h.link.Peer, Room: 100}}}
+}
+
+func (h oneHelper) Link(string) (*relay.Link, bool) { return h.link, true }
+
+// helper starts a host that takes batches, and returns the link to it.
+func helper(t *testing.T, handle func(ctx context.Context, ask relay.Ask, reply func(relay.Bundle))) *relay.Link {
+	t.Helper()
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, &relay.Server{Handle: handle, Timer: &timer.Service{}, Log: quiet})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	link := &relay.Link{Peer: strings.TrimPrefix(server.URL, "http://"), Timer: &timer.Service{}, Log: quiet}
+	t.Cleanup(link.Close)
+	for link.Connect(); !link.Up(); {
+		time.Sleep(time.Millisecond)
+	}
+	return link
+}
+
+// remoteShards returns an engine in zone a, and a query over four shards whose
+// targets lie in zone b.
+func remoteShards(t *testing.T, link *relay.Link) (*Engine, *query) {
+	t.Helper()
+	var targets []*catalog.Target
+	var services []magnoliashore.ServiceName
+	for _, name := range []string{"s1", "s2", "s3", "s4"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Proof", "p-"+name)
+			_, _ = io.WriteString(w, strings.Repeat(name, 8))
+		}))
+		t.Cleanup(server.Close)
+		services = append(services, magnoliashore.ServiceName(name))
+		targets = append(targets, catalog.NewTarget(catalog.TargetSpec{
+			ID: magnoliashore.TargetID(name), Service: magnoliashore.ServiceName(name), Zone: "b", Slots: 2,
+			Address: strings.TrimPrefix(server.URL, "http://"),
+		}))
+	}
+	e := engine(catalog.NewView(nil, targets), retry.Limit{})
+	e.Hosts = oneHelper{link: link}
+	e.Pool = &origin.Pool{Dialect: signing{}, Timer: e.Timer, MaxBody: 1 << 10}
+	now := time.Now()
+	return e, &query{
+		request: origin.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ID: "a"},
+		kind:    "k", services: services, deadline: now.Add(2 * time.Second), began: now, best: 5,
+		scatters: true, delegate: true,
+		terms: scatter.Terms{
+			Shards: len(services), Needed: len(services), Attempts: 2, Hedge: 100 * time.Millisecond,
+			Settle: 300 * time.Millisecond, Timeout: 2 * time.Second,
+		},
+	}
+}
+
+// wantWhole runs a query and checks that all its parts come in.
+func wantWhole(t *testing.T, e *Engine, q *query) {
+	t.Helper()
+	r, cancel := e.start(t.Context(), q)
+	defer cancel()
+	verdict, _ := r.wait(t.Context())
+	if len(r.batches) != 1 {
+		t.Errorf("got %d batches, want 1", len(r.batches))
+	}
+	if verdict != scatter.Answer || r.race.Missing() != 0 {
+		t.Errorf("got verdict %d with %d shards missing, want an answer with all: %s", verdict, r.race.Missing(), r.why())
+	}
+}
+
+// TestBatchHostIsLost has the host of a batch die while it works on it: its
+// shards are asked directly.
+func TestBatchHostIsLost(t *testing.T) {
+	t.Parallel()
+	taken := make(chan struct{})
+	link := helper(t, func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) {
+		close(taken)
+		<-ctx.Done()
+	})
+	e, q := remoteShards(t, link)
+	go func() {
+		<-taken
+		link.Close()
+	}()
+	wantWhole(t, e, q)
+}
+
+// TestLostBatchOfOnce has the host of a batch die with requests that may run
+// once: they are not sent again.
+func TestLostBatchOfOnce(t *testing.T) {
+	t.Parallel()
+	taken := make(chan struct{})
+	link := helper(t, func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) {
+		close(taken)
+		<-ctx.Done()
+	})
+	e, q := remoteShards(t, link)
+	q.terms.Once = true
+	go func() {
+		<-taken
+		link.Close()
+	}()
+	r, cancel := e.start(t.Context(), q)
+	defer cancel()
+	if verdict, _ := r.wait(t.Context()); verdict != scatter.Fail || len(flat(r.tried)) != 0 {
+		t.Errorf("got verdict %d after sends to %v, want a failure without a send", verdict, flat(r.tried))
+	}
+}
+
+func flat(tried [][]magnoliashore.TargetID) []magnoliashore.TargetID {
+	var all []magnoliashore.TargetID
+	for _, list := range tried {
+		all = append(all, list...)
+	}
+	return all
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -235,6 +235,10 @@
 // is left out as a whole: its records cannot be told apart.
 func (r *run) takeBundle(ev event) {
 	b := ev.batch
+	if ev.closed {
+		r.recallLost(b)
+		return
+	}
 	r.batchHalf = max(r.batchHalf, ev.bundle.Half)
 	r.refused += ev.bundle.Refused
 	if len(ev.bundle.Shards) > 0 && b.unseen(ev.bundle.Shards) {
@@ -250,9 +254,21 @@
 	for _, at := range ev.bundle.Failed {
 		r.giveUp(b, b.shards[at], ev.bundle.Ran)
 	}
-	if ev.closed || ev.bundle.Last {
+	if ev.bundle.Last {
 		for i := range b.open {
-			r.giveUp(b, i, ev.closed || ev.bundle.Ran)
+			r.giveUp(b, i, ev.bundle.Ran)
+		}
+	}
+}
+
+// recallLost asks the shards of a batch whose host is lost from here.
+func (r *run) recallLost(b *batch) {
+	now := r.engine.Timer.Now()
+	for i := range b.open {
+		delete(b.open, i)
+		r.race.Recall(now, i)
+		if !r.race.Missed(i, true) || !r.ask(i, repeatSend) {
+			r.race.Lose(i)
 		}
 	}
 }
--- a/scatter/race.go
+++ b/scatter/race.go
@@ -68,6 +68,16 @@
 	r.shards[i].remote = true
 }
 
+// Recall notes that the host that asks a shard is lost. It may have run the
+// request, and may have asked again if it had the time.
+func (r *Race) Recall(now time.Time, i int) {
+	s := &r.shards[i]
+	s.remote = false
+	if r.terms.Hedge > 0 && now.Sub(s.sent) >= r.terms.Hedge {
+		s.sends++
+	}
+}
+
 // In notes that the part of a shard is in. It reports whether it is the first.
 func (r *Race) In(i int) bool {
 	s := &r.shards[i]
--- a/scatter/race_test.go
+++ b/scatter/race_test.go
@@ -163,3 +163,29 @@
 		t.Error("got a repeat of a shard that another host asks, want none")
 	}
 }
+
+// TestRecalledShards has the host of a batch die before and after the moment
+// at which it may have asked a shard a second time: of two attempts, one is
+// left only before.
+func TestRecalledShards(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		at   time.Time
+		once bool
+		want bool
+	}{
+		{"before it could hedge", at(20), false, true},
+		{"after it could hedge", at(40), false, false},
+		{"may run once", at(20), true, false},
+	} {
+		terms := terms()
+		terms.Once = test.once
+		r := scatter.NewRace(terms, start)
+		r.Delegated(start, 1)
+		r.Recall(test.at, 1)
+		if got := r.Missed(1, true); got != test.want {
+			t.Errorf("%s: got that the shard may be asked again %t, want %t", test.name, got, test.want)
+		}
+	}
+}
