--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -132,6 +132,52 @@
 	}
 }
 
+// TestFollowersFormATree has 300 hosts in four zones: what a host sends to
+// others does not grow with them, entries cross to a zone once, and come
+// through few hosts.
+func TestFollowersFormATree(t *testing.T) {
+	t.Parallel()
+	members := make([]membership.Member, 0, 300)
+	zones := make(map[string]magnoliashore.ZoneName)
+	for i := range 300 {
+		peer := strconv.Itoa(1000 + i)
+		zones[peer] = magnoliashore.ZoneName("abcd"[i%4 : i%4+1])
+		members = append(members, member(peer, zones[peer], membership.Alive))
+	}
+	first := make(map[string]registry.Candidate)
+	told := make(map[string]int)
+	crossing := make(map[magnoliashore.ZoneName]int)
+	for _, m := range members {
+		source := readOrder(members, m.Peer())[0]
+		first[m.Peer()] = source
+		told[source.Name]++
+		if source.Name != registry.FromStore && zones[source.Name] != m.Zone() {
+			crossing[m.Zone()]++
+		}
+	}
+	for name, got := range told {
+		if most := followers + 3; name != registry.FromStore && got > most { // the first hosts of other zones
+			t.Errorf("host %s: got %d hosts that it tells, want at most %d", name, got, most)
+		}
+	}
+	for _, zone := range []magnoliashore.ZoneName{"a", "b", "c", "d"} {
+		if got := crossing[zone]; got > 1 {
+			t.Errorf("zone %s: got %d hosts that read from another zone, want 1 at most", zone, got)
+		}
+	}
+	for peer := range first {
+		hops := 0
+		for at := peer; at != registry.FromStore; at = first[at].Name {
+			if hops++; hops > 6 {
+				t.Fatalf("host %s: got a way to the store of more than 6 hosts", peer)
+			}
+		}
+		if got, want := first[peer].Hops, hops-1; got != want {
+			t.Errorf("host %s: got answers allowed through %d hosts, want %d", peer, got, want)
+		}
+	}
+}
+
 func names(candidates []registry.Candidate) []string {
 	list := make([]string, len(candidates))
 	for i, c := range candidates {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -56,6 +56,8 @@
 
 	settings atomic.Pointer[Settings] // in force now
 
+	order atomic.Pointer[[]registry.Candidate] // where to read entries from
+
 	joined   chan struct{} // closed when another host has been found
 	joinOnce sync.Once
 
@@ -150,6 +152,8 @@
 // membersChanged takes the members that run, this host first.
 func (h *Host) membersChanged(members []membership.Member) {
 	h.hosts.update(members)
+	order := readOrder(members, h.Settings.Peer)
+	h.order.Store(&order)
 	if len(members) > 1 {
 		h.joinOnce.Do(func() { close(h.joined) })
 	}
@@ -163,8 +167,16 @@
 		Dial: func(host registry.Candidate) registry.Source {
 			return &registry.Peer{Address: host.Name, Client: client, Hops: host.Hops}
 		},
-		Order: func() []registry.Candidate { return readOrder(h.members.Members(), h.Settings.Peer) },
+		Order: h.sources,
+	}
+}
+
+// sources returns where to read entries from, the best first.
+func (h *Host) sources() []registry.Candidate {
+	if order := h.order.Load(); order != nil {
+		return *order
 	}
+	return []registry.Candidate{{Name: registry.FromStore}}
 }
 
 // applied takes a new view of the configuration and the targets.
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -12,7 +12,6 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/membership"
-	"github.com/magnoliashore/magnoliashore/registry"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -191,74 +190,3 @@
 
 // nearEnough is how many hosts of a zone bear the loss of one.
 const nearEnough = 2
-
-// readers is how many hosts read the store themselves; they lie in different
-// availability zones, so that the loss of one leaves another.
-const readers = 2
-
-// Hosts through which an entry comes, the one that is asked included.
-const (
-	hopsOfReader = 1
-	hopsOfHead   = 2 // the first host of a zone asks a reader
-)
-
-// readOrder returns where this host reads entries from, the best first. Few
-// hosts, the readers, read the store. The first host of each zone follows a
-// reader, and the others of the zone follow that one, so that entries cross
-// between zones once. The rest of the order serves when those are out of touch
-// with the store: the store itself, and the first hosts of other zones.
-func readOrder(members []membership.Member, self string) []registry.Candidate {
-	heads, own := zoneHeads(members, self)
-	first := heads[:min(readers, len(heads))]
-	reads := slices.ContainsFunc(first, func(m membership.Member) bool { return m.Peer() == self })
-	var order []registry.Candidate
-	add := func(name string, hops int) {
-		known := slices.ContainsFunc(order, func(c registry.Candidate) bool { return c.Name == name })
-		if name != self && !known {
-			order = append(order, registry.Candidate{Name: name, Hops: hops})
-		}
-	}
-	hops := func(m membership.Member) int {
-		if slices.ContainsFunc(first, func(r membership.Member) bool { return r.Peer() == m.Peer() }) {
-			return hopsOfReader
-		}
-		return hopsOfHead
-	}
-	if reads {
-		add(registry.FromStore, 0)
-	}
-	for _, m := range heads {
-		if m.Zone() == own && !reads {
-			add(m.Peer(), hops(m))
-		}
-	}
-	for _, m := range first {
-		add(m.Peer(), hopsOfReader)
-	}
-	add(registry.FromStore, 0)
-	for _, m := range heads {
-		add(m.Peer(), hops(m))
-	}
-	return order
-}
-
-// zoneHeads returns the first host of each zone by hash, in that order, and
-// the zone of a host.
-func zoneHeads(members []membership.Member, self string) ([]membership.Member, magnoliashore.ZoneName) {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b membership.Member) int {
-		return cmp.Compare(xxhash.Sum64String(a.Peer()), xxhash.Sum64String(b.Peer()))
-	})
-	var heads []membership.Member
-	var own magnoliashore.ZoneName
-	for _, m := range ranked {
-		if m.Peer() == self {
-			own = m.Zone()
-		}
-		taken := slices.ContainsFunc(heads, func(h membership.Member) bool { return h.Zone() == m.Zone() })
-		if !taken && (m.State() == membership.Alive || m.Peer() == self) {
-			heads = append(heads, m)
-		}
-	}
-	return heads, own
-}
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -176,7 +176,7 @@
 	for waited := false; ; {
 		batch, changed, err := r.changes(revision)
 		// A host that is out of touch with the store says so at once.
-		if err != nil || len(batch.Items) > 0 || waited || batch.Age > staleAge || batch.Hops > hops {
+		if err != nil || len(batch.Items) > 0 || waited || batch.Hops > hops || batch.Age > staleAfter(batch.Hops) {
 			return batch, err
 		}
 		select {
@@ -235,7 +235,7 @@
 }
 
 func (r *Reader) noteHeard(at time.Time) {
-	if r.lost && r.Timer.Now().Sub(at) <= staleAge {
+	if r.lost && r.Timer.Now().Sub(at) <= staleAfter(r.hops) {
 		r.Log.WithField("revision", r.Book.Revision()).Info("entries are read again")
 		r.lost = false
 	}
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -13,7 +13,7 @@
 const (
 	firstAvoid = 2 * time.Second         // after a failure of a source, doubled with each further one; longer than a round of all
 	lastAvoid  = 4 * time.Second         // so that a source that is back is found soon
-	staleAge   = 2500 * time.Millisecond // of a host's knowledge, from which on another source is asked
+	staleAge   = 2500 * time.Millisecond // of the knowledge of a host that reads the store, from which on another source is asked
 )
 
 // Reasons why a host that has answered is left for another source. What it
@@ -23,6 +23,12 @@
 	errFar   = errors.New("the source is too far from the store")
 )
 
+// staleAfter returns the age from which on knowledge that came through hosts
+// is too old. Each host adds the time between two of its calls.
+func staleAfter(hops int) time.Duration {
+	return staleAge + time.Duration(max(0, hops-1))*(peerWait+gatherTime)
+}
+
 // answered reports whether a call has brought a batch.
 func answered(err error) bool {
 	return err == nil || errors.Is(err, errStale) || errors.Is(err, errFar)
@@ -103,7 +109,7 @@
 	case errors.Is(err, ErrHistory), ctx.Err() != nil:
 		return batch, err
 	case err != nil:
-	case batch.Age > staleAge:
+	case batch.Age > staleAfter(batch.Hops):
 		err = errors.Wrapf(errStale, "not heard for %s", batch.Age)
 	case batch.Hops > from.Hops:
 		err = errors.Wrapf(errFar, "%d hosts away", batch.Hops)
