fix(target): a break that the belief does not know of yet keeps new connections from warm work

Traces of those runs and reading showed three ways in which requests begin together at a cold target: - a request cut at its deadline, written whole but not acknowledged (delayed acknowledgement), gave its place back at once after the reset, while the target still ran it; - requests decided on before the break of the connections were sent on new ones inside the lease; - a dial to the new process succeeded before the end of the old connections had been read.

Change: after such a reset the place is kept until Pool.Release is over; a permit says of how many breaks the host knew, and a connection opened after a later one is not used; a dial looks for ends of older connections first.

--- a/behaviour.go
+++ b/behaviour.go
@@ -167,6 +167,10 @@
 	// a new, cold process of the target.
 	Standing bool
 	Lease    time.Time
+	// Era is how many breaks of the target's connections the host knew of when
+	// it believed the target to be warm. With Standing, a connection that was
+	// opened after a later break is not used.
+	Era uint64
 }
 
 // Sender runs sub-requests on targets.
--- a/entry/worker.go
+++ b/entry/worker.go
@@ -70,6 +70,7 @@
 	cold    bool
 	out     bool // gets no new work
 	conns   int
+	era     uint64    // breaks of connections that the belief takes into account
 	worked  time.Time // when the last request was started
 	probing bool      // a probe is under way
 }
@@ -208,6 +209,9 @@
 // absorb takes in changes of the connections. It runs before every decision,
 // so that no work is sent on a belief whose connection has broken.
 func (w *worker) absorb() {
+	if w.host.Sender == nil {
+		w.era = w.host.pool.Era(w.target.ID()) // before the changes: each break that it counts is among them
+	}
 	w.linkMu.Lock()
 	changes := w.links
 	w.links = nil
--- a/entry/worker_send.go
+++ b/entry/worker_send.go
@@ -50,7 +50,7 @@
 // the lease may use a new one.
 func (w *worker) startWarm(ctx context.Context, now time.Time, j *job) {
 	j.until = j.sub.Deadline()
-	j.permit = magnoliashore.Permit{Standing: true}
+	j.permit = magnoliashore.Permit{Standing: true, Era: w.era}
 	if until, ok := w.host.control.ownership.Until(now, w.target.ID()); ok {
 		j.permit.Lease = until
 	}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -33,6 +33,7 @@
 	reason magnoliashore.Reason
 	since  time.Time // the connection must have stood then; zero: any will do
 	lease  time.Time // until then a newer connection will do too
+	era    uint64    // with since: a connection of a later era will not do
 	stop   func()    // ends the exchange, so that the transport tries no other connection
 
 	mu      sync.Mutex
@@ -52,6 +53,7 @@
 	if permit.Standing {
 		a.since = clock.Now()
 		a.lease = permit.Lease
+		a.era = permit.Era
 	}
 	if permit.NotAfter.IsZero() {
 		return a
@@ -111,7 +113,12 @@
 // tooFresh reports whether the connection may not be used because it did not
 // stand before the request.
 func (a *attempt) tooFresh(c *conn) bool {
-	if a.since.IsZero() || !c.opened.After(a.since) {
+	switch {
+	case a.since.IsZero():
+		return false
+	case c.era > a.era:
+		return true
+	case !c.opened.After(a.since):
 		return false
 	}
 	return !a.clock.Now().Before(a.lease)
--- a/target/close.go
+++ b/target/close.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/magnoliashore/magnoliashore/timer"
 )
 
 // past is a deadline that ends reads and writes at once.
@@ -18,6 +20,7 @@
 		return net.ErrClosed
 	}
 	_ = c.SetDeadline(past)
+	c.link.forget(c)
 	if c.ended.CompareAndSwap(false, true) {
 		c.link.quota.fell()
 		c.link.watch.closed()
@@ -26,7 +29,8 @@
 	return nil
 }
 
-// finish waits until the target lets go, and releases the socket.
+// finish waits until the target lets go or Pool.Release is over, and releases
+// the socket.
 func (c *conn) finish() {
 	defer close(c.done)
 	defer c.link.quota.give()
@@ -37,19 +41,27 @@
 	}
 	c.writing.Lock() // no write is under way or begins after this
 	defer c.writing.Unlock()
-	c.hold(tcp)
-	if unacknowledged(tcp) {
-		_ = tcp.SetLinger(0)
+	end := c.link.clock.Now().Add(c.link.release)
+	c.hold(tcp, end)
+	if !unacknowledged(tcp) {
+		_ = tcp.Close()
+		return
 	}
+	_ = tcp.SetLinger(0)
 	_ = tcp.Close()
+	if c.partial.Load() {
+		return
+	}
+	// The target may have the whole request and not have acknowledged it yet.
+	// After the reset it cannot tell when it has let go of it.
+	new(timer.Service).Sleep(end.Sub(c.link.clock.Now()))
 }
 
 // hold ends the stream towards the target and reads until the target ends it
-// too. If bytes may still arrive at the target, it lasts no longer than the
-// gate of the request.
-func (c *conn) hold(tcp *net.TCPConn) {
+// too, or until end. If bytes may still arrive at the target, it lasts no longer
+// than the gate of the request.
+func (c *conn) hold(tcp *net.TCPConn, end time.Time) {
 	now := c.link.clock.Now()
-	end := now.Add(c.link.release)
 	a := c.now.Load()
 	if a != nil && !a.gate.IsZero() && a.gate.Before(end) && unacknowledged(tcp) {
 		end = a.gate
--- a/target/conn.go
+++ b/target/conn.go
@@ -16,9 +16,11 @@
 
 	link    *link
 	opened  time.Time               // when it was opened
+	era     uint64                  // breaks of the target's connections before that
 	now     atomic.Pointer[attempt] // the request that may be written
 	sent    atomic.Pointer[attempt] // the request of which bytes were written
 	bad     atomic.Bool             // it must not carry another request
+	partial atomic.Bool             // the last request was not written whole
 	closed  atomic.Bool             // this process has closed it
 	broken  atomic.Bool             // the other side or the kernel ended it
 	ended   atomic.Bool             // it does not count as standing any more
@@ -84,6 +86,7 @@
 	if err == nil {
 		return n, nil
 	}
+	c.partial.Store(true)
 	if c.closed.Load() {
 		return n, net.ErrClosed
 	}
@@ -102,6 +105,7 @@
 		return
 	}
 	c.broken.Store(true)
+	c.link.forget(c)
 	if c.ended.CompareAndSwap(false, true) {
 		c.link.quota.fell()
 		c.link.watch.broke()
--- a/target/link.go
+++ b/target/link.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +35,9 @@
 	watch     *watch
 	quota     *quota
 	retired   atomic.Bool
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
 }
 
 // newLink returns a link with no connection yet.
@@ -44,6 +51,7 @@
 		dialer:  net.Dialer{Control: tcp.Control(p.UserTimeout)},
 		watch:   &watch{notes: b.notes},
 		quota:   b.quota,
+		open:    make(map[*conn]struct{}),
 	}
 	l.transport = &http.Transport{
 		DialContext:            l.dial,
@@ -70,9 +78,37 @@
 		l.quota.give()
 		return nil, magnoliashore.Step(err, "dial target", l.target.Address())
 	}
+	l.sweep()
+	c := &conn{
+		Conn: raw, link: l, opened: l.clock.Now(), era: l.watch.notes.broken.Load(), done: make(chan struct{}),
+	}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
 	l.quota.opened()
 	l.watch.opened()
-	return &conn{Conn: raw, link: l, opened: l.clock.Now(), done: make(chan struct{})}, nil
+	return c, nil
+}
+
+// sweep notes connections that the target has ended but that nobody has read
+// from since. A new connection may reach a new process of the target, which is
+// known only by the end of the connections to the one before.
+func (l *link) sweep() {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	for _, c := range open {
+		if ended(c.Conn) {
+			c.fail(io.EOF)
+		}
+	}
+}
+
+// forget takes a connection that does not stand any more off the list.
+func (l *link) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
 }
 
 // connect opens a connection. It goes on when ctx is cancelled: the target may
--- a/target/pool.go
+++ b/target/pool.go
@@ -105,6 +105,10 @@
 	return b.quota.standing()
 }
 
+// Era returns how many breaks of a target's connections OnState has been called
+// for.
+func (p *Pool) Era(id magnoliashore.TargetID) uint64 { return p.book(id).notes.told.Load() }
+
 // book returns the book of a target, a new one if there is none.
 func (p *Pool) book(id magnoliashore.TargetID) *book {
 	p.mu.Lock()
--- a/target/state.go
+++ b/target/state.go
@@ -1,6 +1,9 @@
 package target
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // State says whether a connection to a target stands.
 type State int
@@ -33,6 +36,9 @@
 type notes struct {
 	report func(State)
 
+	broken atomic.Uint64 // breaks so far
+	told   atomic.Uint64 // breaks that have been reported
+
 	mu      sync.Mutex
 	pending []State
 	busy    bool
@@ -41,8 +47,13 @@
 // add queues states. They are delivered by deliver.
 func (n *notes) add(states ...State) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.pending = append(n.pending, states...)
-	n.mu.Unlock()
+	for _, s := range states {
+		if s == Down {
+			n.broken.Add(1)
+		}
+	}
 }
 
 // deliver reports the queued states. If a delivery is under way, it is left to
@@ -58,6 +69,9 @@
 		s := n.pending[0]
 		n.pending = n.pending[1:]
 		n.call(s)
+		if s == Down {
+			n.told.Add(1)
+		}
 	}
 	n.busy = false
 }
