feat(soak): cuts between hosts, one way

A proxy stands where other hosts reach a host, for connections and datagrams. It cuts, resets, silences or delays what comes in; the host still reaches the others. Cuts have a random generator of their own, so that the faults of earlier seeds stay what they were.

A host can listen for others at another address than they reach (--peer-listen).

--- a/cmd/gatewaycmd/gateway.go
+++ b/cmd/gatewaycmd/gateway.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"sync"
@@ -30,6 +31,7 @@
 type gatewayOptions struct {
 	settings string
 	level    string
+	peer     string
 }
 
 // New returns the command.
@@ -46,6 +48,8 @@
 	c.cmd.Flags().StringVar(&c.opts.settings, "settings", os.Getenv(platform.SettingsVariable),
 		"settings file of the platform")
 	c.cmd.Flags().StringVar(&c.opts.level, "log", "info", "least level of the log lines")
+	c.cmd.Flags().StringVar(&c.opts.peer, "peer-listen", "",
+		"ip:port to listen at for other hosts, if what they reach passes it on; default: the settings' address")
 	return c.cmd
 }
 
@@ -54,6 +58,11 @@
 	if err != nil {
 		return err
 	}
+	if c.opts.peer != "" {
+		if _, err := netip.ParseAddrPort(c.opts.peer); err != nil {
+			return errors.Wrapf(err, "reading the address of --peer-listen %q", c.opts.peer)
+		}
+	}
 	level, err := log.ParseLevel(c.opts.level)
 	if err != nil {
 		return errors.Wrapf(err, "reading the log level %q", c.opts.level)
@@ -80,6 +89,8 @@
 		Metrics:   gateway.NewMetrics(),
 		Directory: platform.Directory,
 		Ready:     platform.Ready,
+
+		PeerListen: c.opts.peer,
 	}
 	handler.Dropped = host.Metrics.LogDropped
 	host.Signals = Reloads()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -54,6 +54,10 @@
 	Directory func(addresses func(zone magnoliashore.ZoneName) ([]string, time.Duration)) http.Handler
 	Ready     func(ready func() bool) http.Handler
 
+	// PeerListen is the ip:port at which this host listens for others, if what
+	// they reach at Settings.Peer passes it on; empty for Settings.Peer.
+	PeerListen string
+
 	settings atomic.Pointer[Settings] // in force now
 
 	order atomic.Pointer[[]registry.Candidate] // where to read entries from
@@ -126,7 +130,7 @@
 			Self: self, Seeds: s.Seeds, Config: membership.Times(),
 			Random: newRandom(),
 		},
-		Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
+		Address: orElse(h.PeerListen, s.Peer), Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
 	}
 	h.joined = make(chan struct{})
 	lapse := min(time.Duration(lapseShare*float64(s.Drain)), longestLapse)
@@ -194,7 +198,7 @@
 		return nil, err
 	}
 	s := h.Settings
-	addresses := []string{s.Caller, s.Peer, s.Ready, s.Directory}
+	addresses := []string{s.Caller, orElse(h.PeerListen, s.Peer), s.Ready, s.Directory}
 	if s.Metrics != "" {
 		addresses = append(addresses, s.Metrics)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"net"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,7 +40,7 @@
 		{"caller", s.Caller}, {"ready", s.Ready}, {"directory", s.Directory}, {"peer", s.Peer}, {"store", s.Store},
 	}
 	for _, a := range addresses {
-		if _, _, e := net.SplitHostPort(a.value); e != nil {
+		if _, e := netip.ParseAddrPort(a.value); e != nil {
 			err = errors.Join(err, errors.Wrapf(e, "the %s address %q", a.name, a.value))
 		}
 	}
--- a/membership/node.go
+++ b/membership/node.go
@@ -19,9 +19,10 @@
 
 // Node runs a Core over datagrams. Set the exported fields before Run.
 type Node struct {
-	Core  *Core
-	Timer *timer.Service
-	Log   log.Interface
+	Core    *Core
+	Address string // ip:port to listen at; empty for that of Core.Self
+	Timer   *timer.Service
+	Log     log.Interface
 	// OnChange is called after a member has changed, from the node's own
 	// goroutine; may be nil.
 	OnChange func(members []Member)
@@ -46,12 +47,16 @@
 func (n *Node) Listen() error {
 	n.leave = make(chan struct{}, 1)
 	n.seeds = make(chan []string, 1)
-	address, err := net.ResolveUDPAddr("udp4", n.Core.Self.Peer)
+	listen := n.Address
+	if listen == "" {
+		listen = n.Core.Self.Peer
+	}
+	address, err := net.ResolveUDPAddr("udp4", listen)
 	if err != nil {
-		return magnoliashore.Step(err, "read the address for membership", n.Core.Self.Peer)
+		return magnoliashore.Step(err, "read the address for membership", listen)
 	}
 	n.socket, err = net.ListenUDP("udp4", address)
-	return magnoliashore.Step(err, "listen for membership", n.Core.Self.Peer)
+	return magnoliashore.Step(err, "listen for membership", listen)
 }
 
 // Leave tells the other hosts that callers are not to be sent here any more.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +38,7 @@
 		select {
 		case <-wait.C:
 			s.inject(&faults)
+			s.cut(&faults)
 		case <-ctx.Done():
 			wait.Stop()
 		}
@@ -70,11 +72,11 @@
 		}
 	case 4, 5:
 		troubles := []Trouble{{Delay: 80 * time.Millisecond}, {Refuse: true, Reset: true}, {Silence: true}}
-		r.trouble(faults, t, troubles[r.random.IntN(len(troubles))], length)
+		r.trouble(faults, r.proxies[t], troubles[r.random.IntN(len(troubles))], length)
 	case 6:
 		r.disturb(length)
 		troubles := []Trouble{{Refuse: true, Reset: true}, {Silence: true}, {Delay: 200 * time.Millisecond}}
-		r.trouble(faults, len(r.proxies)-1, troubles[r.random.IntN(len(troubles))], length)
+		r.trouble(faults, r.proxies[len(r.proxies)-1], troubles[r.random.IntN(len(troubles))], length)
 	case 7:
 		acts := []standin.Behaviour{{Refuse: true}, {Fail: true}, {Silence: true}, {Work: 400 * time.Millisecond}}
 		target := r.site.Targets[t]
@@ -91,6 +93,22 @@
 	}
 }
 
+// cutShare is how many faults come for each cut between hosts.
+const cutShare = 5
+
+// cut keeps the other hosts from reaching one, at random, which still reaches
+// them. Cuts have a random generator of their own, so that the other faults of
+// a seed stay what they were without them.
+func (r *Soak) cut(faults *sync.WaitGroup) {
+	if r.cuts.IntN(cutShare) > 0 {
+		return
+	}
+	length := time.Duration(r.cuts.Int64N(int64(mostFault)))
+	troubles := []Trouble{{Cut: true}, {Refuse: true, Reset: true}, {Silence: true}, {Delay: 100 * time.Millisecond}}
+	r.disturb(length)
+	r.trouble(faults, r.peers[r.cuts.IntN(len(r.peers))], troubles[r.cuts.IntN(len(troubles))], length)
+}
+
 // disturb notes that bounds do not hold until some time after a disturbance.
 func (r *Soak) disturb(length time.Duration) {
 	r.mu.Lock()
@@ -143,11 +161,11 @@
 }
 
 // trouble troubles the connections of a proxy for a time.
-func (r *Soak) trouble(faults *sync.WaitGroup, at int, t Trouble, length time.Duration) {
-	r.proxies[at].Set(t)
+func (r *Soak) trouble(faults *sync.WaitGroup, p *Proxy, t Trouble, length time.Duration) {
+	p.Set(t)
 	faults.Go(func() {
 		clock.Sleep(length)
-		r.proxies[at].Set(Trouble{})
+		p.Set(Trouble{})
 	})
 }
 
@@ -188,7 +206,7 @@
 // heal ends everything that may still be troubled, and starts hosts that do
 // not run.
 func (r *Soak) heal() {
-	for _, p := range r.proxies {
+	for _, p := range slices.Concat(r.proxies, r.peers) {
 		p.Set(Trouble{})
 	}
 	for _, t := range r.site.Targets {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -14,13 +15,15 @@
 	Delay   time.Duration // of each piece of data
 	Refuse  bool          // new connections are closed at once
 	Silence bool          // nothing passes towards the caller; the connection stays open
+	Cut     bool          // nothing passes in either direction; the connection stays open
 	Reset   bool          // open connections are reset when the trouble begins
 }
 
 // Proxy passes connections on to one address and troubles them.
 type Proxy struct {
-	target   string
-	listener net.Listener
+	target    string
+	listener  net.Listener
+	datagrams *net.UDPConn // nil if the proxy passes on connections only
 
 	mu      sync.Mutex
 	trouble Trouble
@@ -28,8 +31,10 @@
 }
 
 // NewProxy starts a proxy before an ip:port.
-func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+func NewProxy(target string) (*Proxy, error) { return newProxy("127.0.0.1:0", target) }
+
+func newProxy(address, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -38,6 +43,48 @@
 	return p, nil
 }
 
+// NewPeerProxy starts a proxy at the ip:port of a host that others know, and
+// passes connections and datagrams on to where the host listens.
+func NewPeerProxy(address, target string) (*Proxy, error) {
+	p, err := newProxy(address, target)
+	if err != nil {
+		return nil, err
+	}
+	from, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, err
+	}
+	to, err := net.ResolveUDPAddr("udp4", target)
+	if err != nil {
+		return nil, err
+	}
+	if p.datagrams, err = net.ListenUDP("udp4", from); err != nil {
+		return nil, err
+	}
+	go p.forward(to.AddrPort())
+	return p, nil
+}
+
+// forward passes datagrams on. Hosts answer to the address in a datagram, so
+// nothing has to pass back.
+func (p *Proxy) forward(to netip.AddrPort) {
+	buffer := make([]byte, 8<<10)
+	for {
+		n, err := p.datagrams.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		t := p.state()
+		if err != nil || t.Cut || t.Refuse {
+			continue
+		}
+		if t.Delay > 0 {
+			clock.Sleep(time.Duration(rand.Int64N(int64(t.Delay))))
+		}
+		_, _ = p.datagrams.WriteToUDPAddrPort(buffer[:n], to) // the host may be down
+	}
+}
+
 // Address returns the proxy's ip:port.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -57,6 +104,9 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	if p.datagrams != nil {
+		_ = p.datagrams.Close()
+	}
 	p.Set(Trouble{Reset: true})
 }
 
@@ -121,7 +171,7 @@
 		if t.Delay > 0 {
 			clock.Sleep(time.Duration(rand.Int64N(int64(t.Delay))))
 		}
-		if n > 0 && (!back || !t.Silence) {
+		if n > 0 && !t.Cut && (!back || !t.Silence) {
 			if _, e := to.Write(buffer[:n]); e != nil {
 				err = e
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +38,9 @@
 	site    *standin.Site
 	folder  string
 	random  *rand.Rand
-	proxies []*Proxy // before targets, in their order, and before the store
+	cuts    *rand.Rand // for cuts between hosts
+	proxies []*Proxy   // before targets, in their order, and before the store
+	peers   []*Proxy   // before hosts, where other hosts reach them
 
 	mu         sync.Mutex
 	faults     []error
@@ -57,7 +61,7 @@
 
 // Run does the run. It returns an error that names each broken promise.
 func (r *Soak) Run(ctx context.Context) error {
-	r.random = rand.New(rand.NewPCG(r.Seed, 11))
+	r.random, r.cuts = rand.New(rand.NewPCG(r.Seed, 11)), rand.New(rand.NewPCG(r.Seed, 12))
 	r.answers, r.refused = make(map[int]int), make(map[string]bool)
 	r.restarting = make(map[*standin.Process]bool)
 	r.once, r.leaving = make(map[string]string), make(map[string]time.Time)
@@ -77,7 +81,7 @@
 	if r.site != nil {
 		r.site.Close()
 	}
-	for _, p := range r.proxies {
+	for _, p := range slices.Concat(r.proxies, r.peers) {
 		p.Close()
 	}
 	if r.folder != "" {
@@ -134,6 +138,9 @@
 		if err != nil {
 			return err
 		}
+		if err := s.cover(p); err != nil {
+			return err
+		}
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -141,6 +148,25 @@
 	return s.allReady(ctx, startLimit)
 }
 
+// peerPort is where hosts listen behind their proxies.
+const peerPort = "7104"
+
+// cover puts a proxy where other hosts reach a process.
+func (r *Soak) cover(p *standin.Process) error {
+	host, _, err := net.SplitHostPort(p.Settings.Peer)
+	if err != nil {
+		return err
+	}
+	listen := net.JoinHostPort(host, peerPort)
+	proxy, err := NewPeerProxy(p.Settings.Peer, listen)
+	if err != nil {
+		return magnoliashore.Step(err, "start a proxy", p.Settings.Peer)
+	}
+	r.peers = append(r.peers, proxy)
+	p.Args = []string{"--peer-listen", listen}
+	return nil
+}
+
 const (
 	startLimit   = 10 * time.Second
 	recoverLimit = 12 * time.Second // the users' bound for recovery
