--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -145,3 +146,38 @@
 		}
 	}
 }
+
+// repeatRatio is what the users allow to be sent again, as a share of requests
+// (`retryBudgetRatio` of the deployments).
+const repeatRatio = 0.2
+
+// TestFlappingTargets has one target of three, then two, fail everything in
+// every other half second: what fails has to fit the repeats that are allowed.
+func TestFlappingTargets(t *testing.T) {
+	t.Parallel()
+	const (
+		phase = 500 * time.Millisecond
+		gap   = 5 * time.Millisecond
+		sends = 4000
+	)
+	targets := []*catalog.Target{target("one", "a"), target("two", "a"), target("three", "a")}
+	for flapping := 1; flapping <= 2; flapping++ {
+		b := &balance.Book{Zone: "a", Random: rand.New(rand.NewPCG(7, 5))}
+		failed := 0
+		for i := range sends {
+			now := start.Add(time.Duration(i) * gap)
+			got := b.Choose(now, targets, kind, nil)
+			ticket := b.Start(now, got, kind)
+			down := now.Sub(start)/phase%2 == 1
+			if at := slices.Index(targets, got); at < flapping && down {
+				failed++
+				b.Failed(now, ticket)
+				continue
+			}
+			b.Done(now, ticket, gap)
+		}
+		if got := float64(failed) / sends; got > repeatRatio/2 {
+			t.Errorf("%d flapping: got %.3f of the sends failed, want at most half of the ratio of repeats, %.2f", flapping, got, repeatRatio)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/idle_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/scatter"
+)
+
+// keeper starts a target that counts the requests that it has read. A
+// forgetful one resets a connection at its second request, as a middlebox does
+// that has dropped the idle connection without notice.
+func keeper(t *testing.T, id magnoliashore.TargetID, forgetful bool, reads *atomic.Int32) *catalog.Target {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for i := 0; i == 0 || !forgetful; i++ {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					reads.Add(1)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nProof: p\r\nContent-Length: 2\r\n\r\nok")
+				}
+				_, _ = r.ReadByte()
+				if tcp, ok := c.(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return catalog.NewTarget(catalog.TargetSpec{ID: id, Service: "s", Zone: "a", Slots: 2, Address: l.Addr().String()})
+}
+
+// TestIdleConnectionsDropped sends requests on connections that are reset when
+// they are used again: what may be repeated is answered by another target;
+// what may run once is not sent again, and is not said to have not run.
+func TestIdleConnectionsDropped(t *testing.T) {
+	t.Parallel()
+	for _, once := range []bool{false, true} {
+		var reads atomic.Int32
+		view := catalog.NewView(nil, []*catalog.Target{keeper(t, "t1", true, &reads), keeper(t, "t2", false, &reads)})
+		e := engine(view, retry.Limit{})
+		e.Pool = &origin.Pool{Dialect: echoless{}, Timer: e.Timer, MaxBody: 1 << 10}
+		answered, ran := 0, 0
+		const requests = 20
+		for range requests {
+			now := time.Now()
+			r, cancel := e.start(t.Context(), &query{
+				request: origin.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ID: "a"},
+				kind:    "k", services: []magnoliashore.ServiceName{"s"}, deadline: now.Add(2 * time.Second), began: now,
+				terms: scatter.Terms{Shards: 1, Needed: 1, Attempts: 2, Timeout: 2 * time.Second, Once: once},
+			})
+			verdict, _ := r.wait(t.Context())
+			cancel()
+			switch {
+			case verdict == scatter.Answer:
+				answered++
+			case r.race.Ran():
+				ran++
+			default:
+				t.Errorf("once %t: got a request that is said not to have run, want that it may have: %s", once, r.why())
+			}
+		}
+		if !once && answered < requests {
+			t.Errorf("got %d of %d requests answered that may be repeated, want all", answered, requests)
+		}
+		if once && (int(reads.Load()) != answered || ran == 0) {
+			t.Errorf("got %d requests read by targets, %d answered, %d that may have run, want none sent again", reads.Load(), answered, ran)
+		}
+	}
+}
+
+// echoless is a dialect whose answers all carry the same signature.
+type echoless struct{ signing }
+
+func (echoless) Reply(int, http.Header) magnoliashore.TargetReply { return magnoliashore.TargetReply{} }
