fix(gateway): a newcomer assumes that it shares limits with many hosts

After a restart of all 59 hosts each one knows no other for about a second, and took what is meant for all: 46 connections to each target, and the slack of the repeats. Targets reset what was over their cap.

Change: until a second has passed without a further host found, 3 s after the start at most, a host shares with 50.

TestNewcomerAssumesOthers.

--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -186,6 +186,32 @@
 	return list
 }
 
+// TestNewcomerAssumesOthers starts a host after a restart of all: until it
+// knows them it keeps to the share of one among many.
+func TestNewcomerAssumesOthers(t *testing.T) {
+	t.Parallel()
+	all := []membership.Member{member("127.0.0.1:1", "a", 0), member("127.0.0.1:2", "a", 0)}
+	h := &hosts{
+		self: all[0], timer: &timer.Service{}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		links: make(map[string]*relay.Link), seen: make(map[string]time.Time),
+	}
+	h.update(all[:1])
+	if got := h.Count(); got != assumedHosts {
+		t.Errorf("got %d hosts right after the start, want the assumed %d", got, assumedHosts)
+	}
+	h.update(all)
+	h.grown = h.grown.Add(-settledAfter)
+	if got := h.Count(); got != 2 {
+		t.Errorf("got %d hosts when no further one was found, want 2", got)
+	}
+	h.update(all[:1])
+	h.grown, h.born = time.Now(), h.born.Add(-assumeMost)
+	h.seen = make(map[string]time.Time)
+	if got := h.Count(); got != 1 {
+		t.Errorf("got %d hosts long after the start of a lone one, want 1", got)
+	}
+}
+
 // TestLostHostsCountForAWhile has one of three hosts go: limits are shared by
 // three until it is certain that it is not just out of reach.
 func TestLostHostsCountForAWhile(t *testing.T) {
@@ -197,6 +223,7 @@
 		links: make(map[string]*relay.Link), seen: make(map[string]time.Time),
 	}
 	h.update(all)
+	h.born = h.born.Add(-assumeMost)
 	h.update(all[:2])
 	if got := h.Count(); got != 3 {
 		t.Errorf("got %d hosts right after one is lost, want 3", got)
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -21,6 +21,18 @@
 // share a limit: it may only be out of reach.
 const remember = 15 * time.Second
 
+const (
+	// assumedHosts is how many hosts a newcomer takes to share limits with it
+	// until it knows them. After a restart of all, each would else use what is
+	// meant for all.
+	assumedHosts = 50
+	// settledAfter is how long no further host has to be found until the members
+	// are taken to be known: two rounds of the membership.
+	settledAfter = time.Second
+	// assumeMost is how long after its start a host assumes others at all.
+	assumeMost = 3 * time.Second
+)
+
 // hosts keeps the links to the other hosts.
 type hosts struct {
 	self  membership.Member
@@ -32,6 +44,8 @@
 	links   map[string]*relay.Link
 	seen    map[string]time.Time // when a member was last known to run
 	updated time.Time            // when the members last changed
+	born    time.Time            // when this host started
+	grown   time.Time            // when a further member was last found
 }
 
 var _ Hosts = (*hosts)(nil)
@@ -41,6 +55,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.timer.Now()
+	if h.born.IsZero() {
+		h.born = now
+	}
+	if len(members) > len(h.members) {
+		h.grown = now
+	}
 	for _, m := range slices.Concat(h.members, members) {
 		h.seen[m.Peer()] = now
 	}
@@ -153,11 +173,15 @@
 }
 
 // Count returns how many hosts share the limits, this one included: those
-// that run, and those that ran a short time ago.
+// that run, and those that ran a short time ago. A newcomer assumes that there
+// are more than it knows.
 func (h *hosts) Count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.timer.Now()
+	if h.settling(now) {
+		return max(assumedHosts, len(h.members))
+	}
 	if now.Sub(h.updated) > remember {
 		return len(h.members) // asked for each send: the usual case takes no search
 	}
@@ -169,6 +193,15 @@
 	return max(len(h.members), len(h.seen))
 }
 
+// settling reports whether this host has just started and does not know all
+// members yet. The caller holds mu.
+func (h *hosts) settling(now time.Time) bool {
+	if now.Sub(h.born) >= assumeMost {
+		return false
+	}
+	return len(h.members) < 2 || now.Sub(h.grown) < settledAfter
+}
+
 // callerAddresses returns the addresses to send callers of a zone to: those in
 // the zone if there are several hosts, else all.
 func callerAddresses(members []membership.Member, zone magnoliashore.ZoneName) []string {
