--- a/membership/core.go
+++ b/membership/core.go
@@ -119,9 +119,9 @@
 	if c.ticks%joinEvery == 1 || c.alone() {
 		out = append(out, c.rejoin()...)
 	}
-	if all := c.running(); c.ticks >= listAgain<<c.lists && len(all) > 0 {
+	if c.ticks >= listAgain<<c.lists && !c.alone() {
 		c.lists++
-		out = append(out, c.join(all[c.Random.IntN(len(all))]))
+		out = append(out, c.join(c.lister()))
 	}
 	return out
 }
@@ -266,6 +266,19 @@
 	return addresses
 }
 
+// lister returns a host to ask for the list of members: one of the own zone if
+// there is one, since the list is long.
+func (c *Core) lister() string {
+	all := c.running()
+	home := slices.DeleteFunc(slices.Clone(all), func(address string) bool {
+		return c.peers[address].member.Zone() != c.Self.Zone
+	})
+	if len(home) > 0 {
+		all = home
+	}
+	return all[c.Random.IntN(len(all))]
+}
+
 // rejoin greets a seed that is not known to run, and a host that was lost, so
 // that the two sides of a healed cut find each other.
 func (c *Core) rejoin() []Packet {
