perf(membership): the loss of a zone is known everywhere within the bound at 240 hosts

Cause: with 240 real processes and one of three zones stopped, some queries lacked a part for 15 s and more; 7 s with 90. The deaths and suspicions of 80 hosts did not fit the datagrams of the probes: 16 sends of each at 35 news a second take over a minute.

Ruled out: links (closed when the member is dead), replicas (asked at other zones at once).

Change: a datagram holds 16 members; while the news do not fit one, two more datagrams a tick carry only news; when a host of another zone is suspected or dead, another one of that zone is probed next.

--- a/membership/core.go
+++ b/membership/core.go
@@ -5,17 +5,22 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/magnoliashore/magnoliashore"
 )
 
 const (
 	helpers     = 2  // hosts asked to probe one that did not answer
-	newsRoom    = 8  // members in one datagram; keeps it below 1,200 bytes
+	newsRoom    = 16 // members in one datagram; keeps it below 1,200 bytes
+	gossips     = 2  // datagrams with news only that a host sends in a tick while its news do not fit one
 	spread      = 2  // times log2 of the hosts that a piece of news is sent
 	foreign     = 8  // hosts of other zones, at least, that are probed in a round
 	homeShare   = 3  // hosts of the own zone for each of other zones in a round, if those are more
 	freezeTicks = 4  // ticks missed in a row that mean this process was suspended
 	joinEvery   = 5  // ticks between two messages to a seed or a lost host; a host that is alone sends one each tick
 	farewells   = 16 // hosts told directly that this one leaves
+	mostUrgent  = 4  // hosts that are probed before the others of a round
+	urgentTries = 8  // hosts looked at to find one of a zone
 	listAgain   = 10 // ticks from the start to the second list of members, from there to the third, and twice as many each time: hosts that started together are not all in the first
 )
 
@@ -65,6 +70,7 @@
 	roster []string // the running hosts in order; nil if it has to be made anew
 	queue  []news
 	order  []string // peers still to be probed in this round
+	urgent []string // peers to be probed before those
 	probes []probe
 	number uint64
 	ticks  int
@@ -119,6 +125,7 @@
 	if c.ticks%joinEvery == 1 || c.alone() {
 		out = append(out, c.rejoin()...)
 	}
+	out = append(out, c.gossip()...)
 	if c.ticks >= listAgain<<c.lists && !c.alone() {
 		c.lists++
 		out = append(out, c.join(c.lister()))
@@ -208,6 +215,10 @@
 
 // next returns the next host to probe; empty if there is none.
 func (c *Core) next() string {
+	if len(c.urgent) > 0 {
+		c.order = append(c.urgent, c.order...)
+		c.urgent = nil
+	}
 	for range 2 {
 		for len(c.order) > 0 {
 			address := c.order[0]
@@ -266,6 +277,19 @@
 	return addresses
 }
 
+// gossip returns datagrams that only carry news, while there is much of it, as
+// after the loss of a zone: probes alone would take minutes to spread it.
+func (c *Core) gossip() []Packet {
+	var out []Packet
+	for _, peer := range c.shuffled() {
+		if len(out) == gossips || len(c.queue) <= newsRoom {
+			break
+		}
+		out = append(out, Packet{To: peer, Message: Message{Kind: Ack, From: NewMember(c.Self), News: c.news()}})
+	}
+	return out
+}
+
 // lister returns a host to ask for the list of members: one of the own zone if
 // there is one, since the list is long.
 func (c *Core) lister() string {
@@ -431,6 +455,28 @@
 func (c *Core) set(now time.Time, m Member) {
 	c.put(now, m)
 	c.publish(m.Peer())
+	if m.State() == Suspect || m.State() == Dead {
+		c.hurry(m.Zone())
+	}
+}
+
+// hurry has another host of a zone probed next, since a zone is often lost as
+// a whole.
+func (c *Core) hurry(zone magnoliashore.ZoneName) {
+	if zone == c.Self.Zone || len(c.urgent) >= mostUrgent {
+		return
+	}
+	for range urgentTries {
+		all := c.running()
+		if len(all) == 0 {
+			return
+		}
+		peer := all[c.Random.IntN(len(all))]
+		if p := c.peers[peer].member; p.Zone() == zone && p.State() == Alive {
+			c.urgent = append(c.urgent, peer)
+			return
+		}
+	}
 }
 
 func (c *Core) put(now time.Time, m Member) {
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -342,3 +342,27 @@
 		}
 	}
 }
+
+// TestZoneIsLost has all hosts of one of four zones stop at once, at 60 and 240
+// hosts: the others leave them out within the bound for a single one.
+func TestZoneIsLost(t *testing.T) {
+	t.Parallel()
+	for _, hosts := range []int{60, 240} {
+		w := newWorld(11, hosts)
+		w.run(20 * time.Second)
+		var left []string
+		for _, peer := range w.peers() {
+			if zoneOf(peer) == "d" {
+				w.frozen[peer] = true
+			} else {
+				left = append(left, peer)
+			}
+		}
+		w.run(lossBound)
+		for _, peer := range left {
+			if got := len(w.serving(peer)); got > len(left) {
+				t.Errorf("%d hosts: host %s still names %d of the lost zone's, want none", hosts, peer, got-len(left))
+			}
+		}
+	}
+}
