--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -186,6 +186,31 @@
 	return list
 }
 
+// fleet is a number of hosts that share limits.
+type fleet struct {
+	alone
+	hosts int
+}
+
+func (f fleet) Count() int { return f.hosts }
+
+// TestConnectionCapIsShared has a service short of room: what its targets take
+// is divided by the hosts, and each has one at least.
+func TestConnectionCapIsShared(t *testing.T) {
+	t.Parallel()
+	config := catalog.NewConfig(catalog.ConfigSpec{Version: 1, Services: []*catalog.Service{
+		catalog.NewService(catalog.ServiceSpec{Name: "s", Connections: 31}),
+	}})
+	x := targetOf("t1", time.Time{})
+	e := engine(catalog.NewView(config, []*catalog.Target{x}), retry.Limit{})
+	for hosts, want := range map[int]int{1: 27, 8: 3, 27: 1, 60: 1} {
+		e.Hosts = fleet{hosts: hosts}
+		if got := e.connections(x); got != want {
+			t.Errorf("%d hosts: got %d connections for each, want %d", hosts, got, want)
+		}
+	}
+}
+
 // TestNewcomerAssumesOthers starts a host after a restart of all: until it
 // knows them it keeps to the share of one among many.
 func TestNewcomerAssumesOthers(t *testing.T) {
