--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -74,7 +74,7 @@
 	switch why {
 	case firstSend:
 		r.direct++
-	case repeatSend:
+	case repeatSend, hedgeSend:
 		r.extra++
 	case unsentSend:
 	}
