--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -60,6 +60,22 @@
 	return link
 }
 
+// dying starts a host that dies when it has taken a batch, and returns the link
+// to it.
+func dying(t *testing.T) *relay.Link {
+	t.Helper()
+	taken := make(chan struct{})
+	link := helper(t, func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) {
+		close(taken)
+		<-ctx.Done()
+	})
+	go func() {
+		<-taken
+		link.Close()
+	}()
+	return link
+}
+
 // remoteShards returns an engine in zone a, and a query over four shards whose
 // targets lie in zone b.
 func remoteShards(t *testing.T, link *relay.Link) (*Engine, *query) {
@@ -112,16 +128,7 @@
 // shards are asked directly.
 func TestBatchHostIsLost(t *testing.T) {
 	t.Parallel()
-	taken := make(chan struct{})
-	link := helper(t, func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) {
-		close(taken)
-		<-ctx.Done()
-	})
-	e, q := remoteShards(t, link)
-	go func() {
-		<-taken
-		link.Close()
-	}()
+	e, q := remoteShards(t, dying(t))
 	wantWhole(t, e, q)
 }
 
@@ -129,17 +136,8 @@
 // once: they are not sent again.
 func TestLostBatchOfOnce(t *testing.T) {
 	t.Parallel()
-	taken := make(chan struct{})
-	link := helper(t, func(ctx context.Context, _ relay.Ask, _ func(relay.Bundle)) {
-		close(taken)
-		<-ctx.Done()
-	})
-	e, q := remoteShards(t, link)
+	e, q := remoteShards(t, dying(t))
 	q.terms.Once = true
-	go func() {
-		<-taken
-		link.Close()
-	}()
 	r, cancel := e.start(t.Context(), q)
 	defer cancel()
 	if verdict, _ := r.wait(t.Context()); verdict != scatter.Fail || len(flat(r.tried)) != 0 {
