--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -74,7 +74,7 @@
 	switch why {
 	case firstSend:
 		r.direct++
-	case repeatSend, hedgeSend:
+	case repeatSend:
 		r.extra++
 	case unsentSend:
 	}
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -72,7 +72,6 @@
 	firstSend  reason = iota // it is asked for the first time
 	unsentSend               // no attempt has reached it yet
 	repeatSend               // it may have got the request before; that needs the retry budget
-	hedgeSend                // it has not answered yet; that needs a part of the budget that is not meant for failures
 )
 
 // pick chooses the target of an attempt at a service and notes that it is
@@ -88,7 +87,7 @@
 		return attempt{}, false
 	}
 	e.Budget.Hosts = e.Hosts.Count()
-	if share := budgetShare(why); share > 0 && !e.Budget.Take(now, service, share) {
+	if why == repeatSend && !e.Budget.Take(now, service) {
 		e.Metrics.overBudget.Inc()
 		return attempt{}, false
 	}
@@ -101,23 +100,6 @@
 	return attempt{target: t, ticket: e.Book.Start(now, t, q.kind)}, true
 }
 
-// hedgeShare is the share of the retry budget that hedges may use: a shard that
-// has failed needs the second attempt, one that is late may not.
-const hedgeShare = 0.6
-
-// budgetShare returns up to which share of the retry budget an attempt may be
-// made; zero if it needs none.
-func budgetShare(why reason) float64 {
-	switch why {
-	case repeatSend:
-		return 1
-	case hedgeSend:
-		return hedgeShare
-	default:
-		return 0
-	}
-}
-
 // coldRate returns how many requests a second a cold target of a service
 // bears; zero if that is not stated.
 func coldRate(view *catalog.View, service magnoliashore.ServiceName) float64 {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -88,7 +88,7 @@
 	for {
 		now := r.engine.Timer.Now()
 		for _, i := range r.race.Late(now) {
-			if !r.ask(i, hedgeSend) {
+			if !r.ask(i, repeatSend) {
 				r.race.Hold(now, i)
 			}
 		}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -42,23 +42,22 @@
 	c.requests[c.at%(2*steps)]++
 }
 
-// Take reports whether one more extra send fits a share of the limit, and counts
-// it if so.
-func (b *Budget) Take(now time.Time, service magnoliashore.ServiceName, share float64) bool {
+// Take reports whether one more extra send fits, and counts it if so.
+func (b *Budget) Take(now time.Time, service magnoliashore.ServiceName) bool {
 	if b.Limit.Window <= 0 {
 		return true
 	}
 	c := b.counts(now, service)
-	if c.sum(&c.extra, steps+1) >= int(share*b.allowed(c)) {
+	if c.sum(&c.extra, steps+1) >= b.allowed(c) {
 		return false
 	}
 	c.extra[c.at%(2*steps)]++
 	return true
 }
 
-func (b *Budget) allowed(c *counts) float64 {
+func (b *Budget) allowed(c *counts) int {
 	own := b.Limit.Ratio * float64(c.sum(&c.requests, steps-1))
-	return margin * (own + float64(b.Limit.Slack)/float64(max(b.Hosts, 1)))
+	return int(margin * (own + float64(b.Limit.Slack)/float64(max(b.Hosts, 1))))
 }
 
 // sum adds up the newest steps. The newest one is not over yet, so a step more
