test(target): TestDialNotesOldBreaks waits for what it needs, not for 20 ms

Cause of its failure beside three busy processes: it closed the server's connections 20 ms after a dial; one that had not been accepted by then stayed open.

The target now ends its first connection by itself, and the test waits until that end has arrived unread.

--- a/target/era_test.go
+++ b/target/era_test.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -44,16 +45,22 @@
 // not been read: the break is reported before the new connection is used.
 func TestDialNotesOldBreaks(t *testing.T) {
 	t.Parallel()
-	s := httptest.NewServer(http.HandlerFunc(answer))
-	t.Cleanup(s.Close)
-	r := newRig(t, s.Listener.Addr().String(), 2)
+	var accepted atomic.Int32
+	over := make(chan struct{})
+	r := newRig(t, raw(t, func(*net.TCPConn) {
+		if accepted.Add(1) > 1 {
+			<-over // the first connection is ended at once, the second one stands
+		}
+	}), 2)
+	t.Cleanup(func() { close(over) })
 	old, err := r.pool.current("t1").dial(t.Context(), "tcp", "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(20 * time.Millisecond) // the server has accepted it
-	s.CloseClientConnections()
-	time.Sleep(20 * time.Millisecond)
+	eventually(t, "the end has arrived, unread", func() bool {
+		own, ok := old.(*conn)
+		return ok && ended(own.Conn)
+	}, true)
 	fresh, err := r.pool.current("t1").dial(t.Context(), "tcp", "")
 	if err != nil {
 		t.Fatal(err)
