--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,7 +16,6 @@
 	gain       = 0.2                    // weight of the newest observation in a mean
 	forget     = 2 * time.Second        // half-life of an unused target's slowness
 	slowest    = 20.0                   // times the usual time that one request counts at most
-	crossCost  = 4.0                    // how much slower the own zone's replica may be before another zone's is used
 	firstBan   = 150 * time.Millisecond // after a failure, doubled with each further one
 	longestBan = 3 * time.Second
 	pauseAfter = 4.0  // times the usual time that the oldest request is out
@@ -24,6 +23,10 @@
 	pauseCost  = 3.0  // how much slower a target counts that seems paused
 )
 
+// CrossCost is how much slower the own zone's replica may be before another
+// zone's is used.
+const CrossCost = 4.0
+
 // state is what is known of one target.
 type state struct {
 	slow     float64 // its times relative to the usual ones, 1 if as usual
@@ -119,7 +122,7 @@
 		}
 		cost := b.Cost(now, t, kind) * b.noise()
 		if t.Zone() != b.Zone {
-			cost *= crossCost
+			cost *= CrossCost
 		}
 		if cost < lowest {
 			best, lowest = t, cost
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -130,7 +130,7 @@
 			Self: self, Seeds: s.Seeds, Config: membership.Times(),
 			Random: newRandom(),
 		},
-		Address: orElse(h.PeerListen, s.Peer), Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
+		Address: h.PeerListen, Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
 	}
 	h.joined = make(chan struct{})
 	lapse := min(time.Duration(lapseShare*float64(s.Drain)), longestLapse)
--- a/membership/core.go
+++ b/membership/core.go
@@ -1,12 +1,9 @@
 package membership
 
 import (
-	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/magnoliashore/magnoliashore"
 )
 
 const (
@@ -151,108 +148,6 @@
 	c.last = now
 }
 
-// overdue asks others to probe hosts that did not answer, and suspects those
-// that did not answer them either.
-func (c *Core) overdue(now time.Time) []Packet {
-	var out []Packet
-	c.probes = slices.DeleteFunc(c.probes, func(p probe) bool {
-		return now.Sub(p.sent) > 2*c.Config.Timeout+c.Config.Period
-	})
-	for i := range c.probes {
-		p := &c.probes[i]
-		late := now.Sub(p.sent)
-		if p.asker != "" || late < c.Config.Timeout {
-			continue
-		}
-		if !p.helped {
-			p.helped = true
-			out = append(out, c.askOthers(p)...)
-		}
-		if late >= 2*c.Config.Timeout {
-			c.suspect(now, p.peer)
-		}
-	}
-	return out
-}
-
-func (c *Core) askOthers(p *probe) []Packet {
-	var out []Packet
-	for _, peer := range c.shuffled() {
-		if len(out) == helpers {
-			break
-		}
-		if peer == p.peer {
-			continue
-		}
-		out = append(out, Packet{To: peer, Message: Message{
-			Kind: Probe, Number: p.number, From: NewMember(c.Self), Target: p.peer, News: c.news(),
-		}})
-	}
-	return out
-}
-
-func (c *Core) suspect(now time.Time, address string) {
-	p, ok := c.peers[address]
-	if ok && p.member.State() == Alive {
-		c.set(now, p.member.with(Suspect))
-	}
-	if ok && p.member.State() == Leaving {
-		c.set(now, p.member.with(Dead))
-	}
-}
-
-// age turns suspects into dead ones and forgets those dead for long.
-func (c *Core) age(now time.Time) {
-	for address, p := range c.peers {
-		switch {
-		case p.member.State() == Suspect && now.Sub(p.since) >= c.Config.Suspect:
-			c.set(now, p.member.with(Dead))
-		case p.member.State() == Dead && now.Sub(p.since) >= c.Config.Forget:
-			delete(c.peers, address)
-		}
-	}
-}
-
-// next returns the next host to probe; empty if there is none.
-func (c *Core) next() string {
-	if len(c.urgent) > 0 {
-		c.order = append(c.urgent, c.order...)
-		c.urgent = nil
-	}
-	for range 2 {
-		for len(c.order) > 0 {
-			address := c.order[0]
-			c.order = c.order[1:]
-			if p, ok := c.peers[address]; ok && p.member.Runs() {
-				return address
-			}
-		}
-		c.order = c.round()
-	}
-	return ""
-}
-
-// round returns the hosts to probe next, in random order: those of the own
-// zone, and some of other zones. Each host is probed often by the hosts of its
-// own zone, and the bytes between zones stay few.
-func (c *Core) round() []string {
-	all := c.shuffled()
-	home := 0
-	for _, address := range all {
-		if c.peers[address].member.Zone() == c.Self.Zone {
-			home++
-		}
-	}
-	away := max(foreign, home/homeShare)
-	return slices.DeleteFunc(all, func(address string) bool {
-		if c.peers[address].member.Zone() == c.Self.Zone {
-			return false
-		}
-		away--
-		return away < 0
-	})
-}
-
 // running returns the running hosts in order.
 func (c *Core) running() []string {
 	if c.roster != nil {
@@ -277,80 +172,9 @@
 	return addresses
 }
 
-// gossip returns datagrams that only carry news, while there is much of it, as
-// after the loss of a zone: probes alone would take minutes to spread it.
-func (c *Core) gossip() []Packet {
-	var out []Packet
-	for _, peer := range c.shuffled() {
-		if len(out) == gossips || len(c.queue) <= newsRoom {
-			break
-		}
-		out = append(out, Packet{To: peer, Message: Message{Kind: Ack, From: NewMember(c.Self), News: c.news()}})
-	}
-	return out
-}
-
-// lister returns a host to ask for the list of members: one of the own zone if
-// there is one, since the list is long.
-func (c *Core) lister() string {
-	all := c.running()
-	home := slices.DeleteFunc(slices.Clone(all), func(address string) bool {
-		return c.peers[address].member.Zone() != c.Self.Zone
-	})
-	if len(home) > 0 {
-		all = home
-	}
-	return all[c.Random.IntN(len(all))]
-}
-
-// rejoin greets a seed that is not known to run, and a host that was lost, so
-// that the two sides of a healed cut find each other.
-func (c *Core) rejoin() []Packet {
-	var out []Packet
-	var lost []string
-	for address, p := range c.peers {
-		if !p.member.Runs() {
-			lost = append(lost, address)
-		}
-	}
-	if len(lost) > 0 {
-		slices.Sort(lost)
-		out = append(out, c.join(lost[c.Random.IntN(len(lost))]))
-	}
-	for _, seed := range c.Seeds {
-		if p, ok := c.peers[seed]; seed != c.Self.Peer && (!ok || !p.member.Runs()) {
-			out = append(out, c.join(seed))
-		}
-	}
-	return out
-}
-
 // alone reports whether no other host is known to run.
 func (c *Core) alone() bool { return len(c.running()) == 0 }
 
-func (c *Core) join(to string) Packet {
-	p := c.ping(to)
-	p.Message.Kind = Join
-	return p
-}
-
-func (c *Core) ping(to string) Packet {
-	c.number++
-	return Packet{To: to, Message: Message{
-		Kind: Ping, Number: c.number, From: NewMember(c.Self), News: c.newsFor(to),
-	}}
-}
-
-// newsFor returns the members to send to a host. One that is suspected or
-// held for dead hears of it, so that it can refute.
-func (c *Core) newsFor(to string) []Member {
-	out := c.news()
-	if p, ok := c.peers[to]; ok && p.member.State() != Alive {
-		out = append(out, p.member)
-	}
-	return out
-}
-
 // Receive takes a message.
 func (c *Core) Receive(now time.Time, m Message) []Packet {
 	c.prepare()
@@ -381,42 +205,6 @@
 	return nil
 }
 
-func (c *Core) ack(to string, number uint64) Packet {
-	return Packet{To: to, Message: Message{
-		Kind: Ack, Number: number, From: NewMember(c.Self), News: c.newsFor(to),
-	}}
-}
-
-// welcome answers a Join with all members, in as many datagrams as it takes.
-func (c *Core) welcome(m Message) []Packet {
-	out := []Packet{c.ack(m.From.Peer(), m.Number)}
-	all := make([]Member, 0, len(c.peers))
-	for _, p := range c.peers {
-		all = append(all, p.member)
-	}
-	for part := range slices.Chunk(all, newsRoom) {
-		out = append(out, Packet{To: m.From.Peer(), Message: Message{
-			Kind: Ack, From: NewMember(c.Self), News: part,
-		}})
-	}
-	return out
-}
-
-// acked ends the probe that an Ack answers, and passes the Ack on if the
-// probe was another host's.
-func (c *Core) acked(m Message) []Packet {
-	i := slices.IndexFunc(c.probes, func(p probe) bool { return p.number == m.Number })
-	if i < 0 || m.Number == 0 {
-		return nil
-	}
-	p := c.probes[i]
-	c.probes = slices.Delete(c.probes, i, i+1)
-	if p.asker == "" {
-		return nil
-	}
-	return []Packet{c.ack(p.asker, p.theirs)}
-}
-
 // learn takes a belief of another host, which is passed on if it is news.
 func (c *Core) learn(now time.Time, m Member, isNews bool) {
 	if m.Peer() == "" {
@@ -460,54 +248,11 @@
 	}
 }
 
-// hurry has another host of a zone probed next, since a zone is often lost as
-// a whole.
-func (c *Core) hurry(zone magnoliashore.ZoneName) {
-	if zone == c.Self.Zone || len(c.urgent) >= mostUrgent {
-		return
-	}
-	for range urgentTries {
-		all := c.running()
-		if len(all) == 0 {
-			return
-		}
-		peer := all[c.Random.IntN(len(all))]
-		if p := c.peers[peer].member; p.Zone() == zone && p.State() == Alive {
-			c.urgent = append(c.urgent, peer)
-			return
-		}
-	}
-}
-
 func (c *Core) put(now time.Time, m Member) {
 	c.roster = nil
 	c.peers[m.Peer()] = &peer{member: m, since: now}
 }
 
-// publish has a change passed on.
-func (c *Core) publish(address string) {
-	c.queue = slices.DeleteFunc(c.queue, func(n news) bool { return n.peer == address })
-	c.queue = append(c.queue, news{peer: address, left: spread * bits.Len(uint(len(c.peers)+1))})
-}
-
-// news returns the members to send along: the changes that were sent least,
-// then one member at random, so that a lost datagram is made up for.
-func (c *Core) news() []Member {
-	slices.SortStableFunc(c.queue, func(a, b news) int { return b.left - a.left })
-	var out []Member
-	for i := range min(len(c.queue), newsRoom-1) {
-		c.queue[i].left--
-		if m, ok := c.member(c.queue[i].peer); ok {
-			out = append(out, m)
-		}
-	}
-	c.queue = slices.DeleteFunc(c.queue, func(n news) bool { return n.left <= 0 })
-	if all := c.running(); len(all) > 0 {
-		out = append(out, c.peers[all[c.Random.IntN(len(all))]].member)
-	}
-	return out
-}
-
 func (c *Core) member(address string) (Member, bool) {
 	if address == c.Self.Peer {
 		return NewMember(c.Self), true
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -6,7 +6,10 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
 const readBuffer = 4 << 10 // bytes
@@ -46,20 +49,10 @@
 
 // readable reports whether bytes, a close or an error wait on the socket.
 func (c *conn) readable() bool {
-	raw, ok := c.Conn.(syscall.Conn)
+	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return true
-	}
-	waiting := true
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting = err != unix.EAGAIN
-		return true
-	})
-	return err != nil || waiting
+	_, err := tcp.Pending(socket)
+	return !errors.Is(err, unix.EAGAIN)
 }
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -29,6 +29,25 @@
 	}
 }
 
+// Pending says what waits on a socket, as recv would tell, and leaves it there:
+// n is above zero for bytes, and zero with no error for the end of the stream.
+// The error is EAGAIN if nothing waits.
+func Pending(c syscall.Conn) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, failed = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err == nil {
+		err = failed
+	}
+	return n, err
+}
+
 // Dialer returns a dialer that gives up a connection attempt after connect,
 // and a connection as Control says.
 func Dialer(connect, unacknowledged time.Duration) *net.Dialer {
