fix(origin): a connection is given back before the answer of a long request

Cause (traced before): a goroutine gave the connection back, so a request that followed at once found none and opened a second one. Now a complete answer awaits the end of its request's write for up to 10 ms, which is over by then unless the target answers early.

--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -61,20 +61,34 @@
 }
 
 // reuseAfterWrite returns a connection for reuse once the request body is fully
-// written: a target that answers early may still be reading the body.
+// written: a target that answers early may still be reading the body. The end of
+// a write that is almost done is awaited, so that the next request finds the
+// connection.
 func (p *Pool) reuseAfterWrite(l *connList, c *conn) {
 	if c.writeDone == nil {
 		p.reuseOrClose(l, c)
 		return
 	}
+	settle := p.Timer.After(writeSettleTime)
+	defer settle.Stop()
+	select {
+	case err := <-c.writeDone:
+		p.reuseWritten(l, c, err)
+		return
+	case <-settle.C:
+	}
 	_ = c.SetWriteDeadline(p.Timer.Now().Add(lateWriteTimeout))
-	go func() {
-		if err := <-c.writeDone; err != nil {
-			c.noReuse = true
-		}
-		c.writeDone = nil
-		p.reuseOrClose(l, c)
-	}()
+	go func() { p.reuseWritten(l, c, <-c.writeDone) }()
+}
+
+// reuseWritten returns a connection for reuse after its request body was written
+// with the given result.
+func (p *Pool) reuseWritten(l *connList, c *conn, err error) {
+	if err != nil {
+		c.noReuse = true
+	}
+	c.writeDone = nil
+	p.reuseOrClose(l, c)
 }
 
 // reuseOrClose returns a connection for reuse after a complete answer, or closes
@@ -94,6 +108,10 @@
 // the rest of the request.
 const lateWriteTimeout = 5 * time.Second
 
+// writeSettleTime is how long a complete answer waits for the end of the write of
+// its request, which the target has usually read whole by then.
+const writeSettleTime = 10 * time.Millisecond
+
 // roundTrip writes the request and reads its answer. A long body is written
 // while the answer is read, since a target may answer before it has read all of
 // the body.
