--- a/cmd/gateway_test.go
+++ b/cmd/gateway_test.go
@@ -31,6 +31,20 @@
 	}
 }
 
+func TestExplainSummary(t *testing.T) {
+	t.Parallel()
+	path := writeFile(t, "h1.log", "timestamp=2026-08-25T03:57:45.5Z level=info message=\"request done\" host=h1 missing=0 outcome=502 request=abc1 took=12ms\n")
+	out, _, err := runTool(t, "explain", "--summary", "--interval", "1s", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"03:57:45.0  0      0        0        1       12ms", "outcome 502"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("got %q, want it to contain %q", out, want)
+		}
+	}
+}
+
 func TestExplainErrors(t *testing.T) {
 	t.Parallel()
 	path := writeFile(t, "h1.log", "no log\n")
@@ -41,6 +55,9 @@
 		{[]string{"explain", "abc1", path}, `mentions the request "abc1"`},
 		{[]string{"explain", "abc1", path + ".none"}, "open log"},
 		{[]string{"explain"}, "arg"},
+		{[]string{"explain", "", path}, "the request ID is empty"},
+		{[]string{"explain", "--summary", path}, "is about a request"},
+		{[]string{"explain", "--summary", "--interval", "0s", path}, "want more than 0"},
 	} {
 		_, _, err := runTool(t, test.args...)
 		if err == nil || !strings.Contains(err.Error(), test.want) {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/magnoliashore/magnoliashore/explain"
 )
@@ -27,16 +28,46 @@
 	for _, l := range explain.Request(lines, "abc1") {
 		fmt.Fprintf(&b, "%s %s %s\n", l.At().Format("15:04:05.000"), l.Host(), l.Text())
 	}
+	wantGolden(t, "testdata/abc1.golden", b.String())
+}
+
+func TestSummary(t *testing.T) {
+	t.Parallel()
+	file, err := os.Open("testdata/requests.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = file.Close() })
+	lines, err := explain.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := explain.Summarize(lines, time.Second).Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	wantGolden(t, "testdata/summary.golden", b.String())
+}
+
+func TestSummaryWithoutRequests(t *testing.T) {
+	t.Parallel()
+	if !explain.Summarize(nil, time.Second).Empty() {
+		t.Error("got requests in an empty log, want none")
+	}
+}
+
+func wantGolden(t *testing.T, path, got string) {
+	t.Helper()
 	if *update {
-		if err := os.WriteFile("testdata/abc1.golden", []byte(b.String()), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	want, err := os.ReadFile("testdata/abc1.golden")
+	want, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := b.String(); got != string(want) {
+	if got != string(want) {
 		t.Errorf("got\n%swant\n%s", got, want)
 	}
 }
