--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -27,11 +27,11 @@
 		},
 	}
 	r, cancel := e.start(ctx, q)
+	defer cancel()
 	r.reportAt = now.Add(request.PartialAfter)
 	for {
 		decision, ok := r.wait(ctx)
 		if !ok {
-			r.finish(cancel, true)
 			e.logBatch(request, r, "not needed any more")
 			return
 		}
@@ -39,7 +39,6 @@
 		result.Last = decision != scatter.Wait
 		reply(result)
 		if result.Last {
-			r.finish(cancel, false)
 			e.logBatch(request, r, "all shards have an outcome")
 			return
 		}
--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -147,6 +147,48 @@
 	}
 }
 
+// TestAnsweredQueryLeavesNoQueue hedges a shard whose first replica does not
+// answer. Once the second one has answered, the request must leave the queue of
+// the first at once.
+func TestAnsweredQueryLeavesNoQueue(t *testing.T) {
+	t.Parallel()
+	left := make(chan time.Time, 1)
+	stuck := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		left <- time.Now()
+	}))
+	quick := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Proof", "p")
+	}))
+	t.Cleanup(stuck.Close)
+	t.Cleanup(quick.Close)
+	replica := func(id string, zone magnoliashore.ZoneName, server *httptest.Server) *catalog.Target {
+		return catalog.NewTarget(catalog.TargetSpec{
+			ID: magnoliashore.TargetID(id), Service: "s", Zone: zone, Slots: 2, Address: strings.TrimPrefix(server.URL, "http://"),
+		})
+	}
+	config := catalog.NewConfig(catalog.ConfigSpec{Version: 1})
+	e := testEngine(catalog.NewView(config, []*catalog.Target{replica("near", "a", stuck), replica("far", "b", quick)}), retry.Limit{})
+	e.Pool = &origin.Pool{Dialect: signedDialect{}, Timer: e.Timer, MaxBody: 1 << 10}
+	handler := &Handler{Engine: e, Dialect: signedDialect{}, Log: e.Log, DataAge: func() time.Duration { return 0 }, gates: &gates{timer: e.Timer}}
+	now := time.Now()
+	q := &query{
+		request: origin.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ID: "a"}, received: now,
+		kind: "k", services: []magnoliashore.ServiceName{"s"}, deadline: now.Add(2 * time.Second), topK: 5, scatter: true,
+		params: scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 2, HedgeAfter: 50 * time.Millisecond, Timeout: 2 * time.Second},
+	}
+	route := catalog.NewRoute(catalog.RouteSpec{Name: "r", Shards: q.services})
+	answer := httptest.NewRecorder()
+	handler.serve(answer, httptest.NewRequest(http.MethodGet, "/", nil), route, q)
+	answered := time.Now()
+	if answer.Code != http.StatusOK {
+		t.Fatalf("got status %d, want 200", answer.Code)
+	}
+	if took := (<-left).Sub(answered); took > 100*time.Millisecond {
+		t.Errorf("got the request out of the queue %s after the answer, want at most 100 ms", took)
+	}
+}
+
 func flat(tried [][]magnoliashore.TargetID) []magnoliashore.TargetID {
 	var all []magnoliashore.TargetID
 	for _, list := range tried {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -134,11 +134,11 @@
 		return
 	}
 	run, cancel := h.Engine.start(r.Context(), q)
+	defer cancel()
 	decision, ok := run.wait(r.Context())
 	admitted.done(ok && run.overloaded(h.Engine.Timer.Now(), route.Objective()))
 	took := h.Engine.Timer.Now().Sub(q.received)
 	if !ok {
-		run.finish(cancel, true)
 		h.Engine.Metrics.abandoned.Inc()
 		h.logQuery(r, route, run, "caller left", took)
 		return
@@ -148,17 +148,12 @@
 	}
 	status := h.writeAnswer(w, run, decision)
 	tail := run.tail()
-	if tail == nil {
-		run.finish(cancel, false)
-	}
 	h.Engine.Metrics.answerTime.Update(took.Seconds())
 	h.logQuery(r, route, run, strconv.Itoa(status), took)
 	if tail == nil {
 		return
 	}
-	err := tail.Copy(r.Context(), w)
-	run.finish(cancel, false)
-	if err != nil {
+	if err := tail.Copy(r.Context(), w); err != nil {
 		h.logWith(r, "error", err.Error()).Info("a long answer broke off; closing the caller's connection")
 		panic(http.ErrAbortHandler) // aborts the response, so that the caller sees that it is incomplete
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,11 +14,6 @@
 	"github.com/magnoliashore/magnoliashore/scatter"
 )
 
-// linger is how long an attempt that is no longer needed may run before its
-// connection is closed. A new connection costs a target more than the rest of a
-// short request.
-const linger = 300 * time.Millisecond
-
 // mergedResult holds the merged partial results of some shards.
 type mergedResult struct {
 	shards     []int
@@ -62,8 +57,9 @@
 	batchMedian    time.Duration // longest such time of a batch
 }
 
-// start starts a query. The caller calls finish with the returned function when
-// the query is over.
+// start starts a query. The returned function ends the attempts that still run.
+// It is called as soon as the query is over, since an unneeded request delays
+// others at a target that has a queue.
 func (e *Engine) start(ctx context.Context, q *query) (*queryRun, context.CancelFunc) {
 	now := e.Timer.Now()
 	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -286,16 +282,6 @@
 	r.progress.GiveUp(i)
 }
 
-// finish ends the attempts that still run: at once if the caller has left, else
-// after a time in which short ones can complete.
-func (r *queryRun) finish(cancel context.CancelFunc, callerLeft bool) {
-	if callerLeft {
-		cancel()
-		return
-	}
-	r.engine.Timer.Call(linger, cancel)
-}
-
 // signatures returns the signatures of all partial results.
 func (r *queryRun) signatures() []string {
 	var signatures []string
