perf(membership): a host that starts before its seeds finds them within 50 ms

Change: a host that has found no other one asks its seeds each 50 ms, for 3 s at most.

The new test fails without the change.

--- a/membership/joining.go
+++ b/membership/joining.go
@@ -39,6 +39,17 @@
 	return packets
 }
 
+// JoinAlone sends Joins to the seeds while this host knows no other host. It is
+// called more often than Tick, since hosts that start together may be up before
+// their seeds.
+func (pr *Protocol) JoinAlone() []Packet {
+	pr.initPeers()
+	if !pr.alone() {
+		return nil
+	}
+	return pr.rejoin()
+}
+
 func (pr *Protocol) newJoin(to string) Packet {
 	p := pr.newPing(to)
 	p.Message.Kind = Join
--- a/membership/node.go
+++ b/membership/node.go
@@ -15,7 +15,13 @@
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
-const inboxSize = 256 // datagrams received and not yet handled
+const (
+	inboxSize = 256 // datagrams received and not yet handled
+	// Time between two rounds of Joins of a host that has just started and found
+	// no other host, and the number of these rounds.
+	joinRetryInterval = 50 * time.Millisecond
+	maxJoinRetries    = 60
+)
 
 // Node runs a Protocol over UDP. Set the exported fields before Run.
 type Node struct {
@@ -82,6 +88,9 @@
 	go n.read(received)
 	ticks := n.Timer.Every(n.Protocol.Config.ProbeInterval)
 	defer ticks.Stop()
+	joins := n.Timer.Every(joinRetryInterval)
+	defer joins.Stop()
+	joinRetries := 0
 	n.logged = make(map[string]Member)
 	n.send(n.Protocol.Tick(n.Timer.Now()))
 	for {
@@ -92,6 +101,13 @@
 			n.send(n.Protocol.Receive(n.Timer.Now(), m))
 		case <-ticks.C:
 			n.send(n.Protocol.Tick(n.Timer.Now()))
+		case <-joins.C:
+			packets := n.Protocol.JoinAlone()
+			n.send(packets)
+			joinRetries++
+			if len(packets) == 0 || joinRetries == maxJoinRetries {
+				joins.Stop()
+			}
 		case seeds := <-n.seeds:
 			n.Protocol.Seeds = seeds
 		case <-n.leave:
--- a/membership/protocol_test.go
+++ b/membership/protocol_test.go
@@ -28,6 +28,9 @@
 	crossZoneBytes     int // of sentBytes
 }
 
+// joinRetryInterval is the time between two calls of JoinAlone.
+const joinRetryInterval = 50 * time.Millisecond
+
 type delayedPacket struct {
 	arrival time.Time
 	from    string
@@ -93,6 +96,9 @@
 			}
 		}
 		for i, peer := range c.peers() {
+			if !c.frozen[peer] && (c.now.UnixMilli()/10+int64(i))%(joinRetryInterval.Milliseconds()/10) == 0 {
+				c.send(peer, c.hosts[peer].JoinAlone())
+			}
 			if c.frozen[peer] || (c.now.UnixMilli()/10+int64(i))%(period.Milliseconds()/10) != 0 {
 				continue
 			}
@@ -184,6 +190,25 @@
 	c.wantServing(t, "with one seed", c.peers())
 }
 
+// TestHostUpBeforeItsSeeds starts a host 150 ms before its seeds, as when all
+// hosts are back from a loss of power: it must find them long before its next
+// probe is due.
+func TestHostUpBeforeItsSeeds(t *testing.T) {
+	t.Parallel()
+	c := newCluster(1, 0)
+	early := address(5)
+	c.start(early, 1)
+	c.send(early, c.hosts[early].Tick(c.now))
+	c.run(150 * time.Millisecond)
+	for i := range 3 {
+		c.start(address(i), uint64(2+i))
+	}
+	c.run(100 * time.Millisecond)
+	if got, want := len(c.serving(early)), 2; got < want {
+		t.Errorf("got %d hosts known to the early host 100 ms after its seeds started, want at least %d", got, want)
+	}
+}
+
 func TestPartitionHeals(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(10) {
