perf(gateway): shards that a batch has not requested are queried by the coordinator

Change: the last result of a batch names the shards that were requested from no target. The coordinator queries these itself; no target got them, so this is no repeat.

The new test fails without it.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -36,7 +36,9 @@
 			return
 		}
 		result := r.nextResult()
-		result.Last = decision != scatter.Wait
+		if result.Last = decision != scatter.Wait; result.Last {
+			result.Unsent = r.unsentShards()
+		}
 		reply(result)
 		if result.Last {
 			e.logBatch(request, r, "all shards have an outcome")
@@ -74,3 +76,15 @@
 	result.MayHaveRun = r.progress.MayHaveRun()
 	return result
 }
+
+// unsentShards returns the indexes of the shards that were not requested from any
+// target.
+func (r *queryRun) unsentShards() []int {
+	var unsent []int
+	for i := range r.query.services {
+		if !r.reached[i] && !r.progress.ShardMayHaveRun(i) {
+			unsent = append(unsent, i)
+		}
+	}
+	return unsent
+}
--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -189,6 +189,15 @@
 	}
 }
 
+// TestHostWithoutTargetsReturnsItsBatch sends a batch to a host that has just
+// restarted and knows no targets yet. The coordinator must query the shards itself.
+func TestHostWithoutTargetsReturnsItsBatch(t *testing.T) {
+	t.Parallel()
+	restarted := testEngine(catalog.NewView(nil, nil), retry.Limit{})
+	e, q := remoteShards(t, startHelper(t, restarted.Batch))
+	wantAllShards(t, e, q)
+}
+
 func flat(tried [][]magnoliashore.TargetID) []magnoliashore.TargetID {
 	var all []magnoliashore.TargetID
 	for _, list := range tried {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -249,8 +249,8 @@
 		}
 		r.results = append(r.results, p)
 	}
-	for _, index := range ev.batchResult.Failed {
-		r.failBatchShard(b, b.shards[index], ev.batchResult.MayHaveRun)
+	for _, index := range ev.batchResult.Unsent {
+		r.returnBatchShard(b, b.shards[index])
 	}
 	if ev.batchResult.Last {
 		for i := range b.pending {
@@ -272,6 +272,19 @@
 	}
 }
 
+// returnBatchShard queries a shard from this host, since the host of its batch has
+// requested it from no target. That host may not know its targets yet.
+func (r *queryRun) returnBatchShard(b *batch, i int) {
+	if !b.pending[i] {
+		return
+	}
+	delete(b.pending, i)
+	r.progress.ReturnDelegation(i)
+	if !r.progress.RecordFailure(i, false) || !r.tryShard(i, unsentRetry) {
+		r.progress.GiveUp(i)
+	}
+}
+
 // failBatchShard records that a batch returns no partial result for a shard.
 func (r *queryRun) failBatchShard(b *batch, i int, mayHaveRun bool) {
 	if !b.pending[i] {
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -53,7 +53,7 @@
 	Shards        []int
 	Signatures    []string
 	Records       []byte
-	Failed        []int
+	Unsent        []int
 	MayHaveRun    bool
 	Last          bool
 	MedianLatency int64 // microseconds
@@ -105,7 +105,7 @@
 
 func encodeResult(r Result) *wireResult {
 	return &wireResult{
-		Shards: r.Shards, Signatures: r.Signatures, Records: r.Records, Failed: r.Failed, MayHaveRun: r.MayHaveRun, Last: r.Last,
+		Shards: r.Shards, Signatures: r.Signatures, Records: r.Records, Unsent: r.Unsent, MayHaveRun: r.MayHaveRun, Last: r.Last,
 		MedianLatency: r.MedianLatency.Microseconds(), Refused: r.Refused,
 	}
 }
@@ -116,7 +116,7 @@
 	if len(w.Shards) != len(w.Signatures) {
 		return Result{}, errors.Newf("result has %d shards and %d signatures", len(w.Shards), len(w.Signatures))
 	}
-	for _, list := range [][]int{w.Shards, w.Failed} {
+	for _, list := range [][]int{w.Shards, w.Unsent} {
 		for _, i := range list {
 			if i < 0 || i >= size {
 				return Result{}, errors.Newf("shard index %d is out of range in a batch of %d shards", i, size)
@@ -124,7 +124,7 @@
 		}
 	}
 	return Result{
-		Shards: w.Shards, Signatures: w.Signatures, Records: w.Records, Failed: w.Failed, MayHaveRun: w.MayHaveRun, Last: w.Last,
+		Shards: w.Shards, Signatures: w.Signatures, Records: w.Records, Unsent: w.Unsent, MayHaveRun: w.MayHaveRun, Last: w.Last,
 		MedianLatency: fromMicros(w.MedianLatency), Refused: w.Refused,
 	}, nil
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -36,8 +36,8 @@
 	Shards        []int // indexes in Request.Shards
 	Signatures    []string
 	Records       []byte
-	Failed        []int         // shards that will not return a partial result
-	MayHaveRun    bool          // an attempt at a failed shard may have run
+	Unsent        []int         // indexes of shards that were not requested from any target; set in the last result
+	MayHaveRun    bool          // an attempt at another shard without a partial result may have run
 	Last          bool          // no further result follows
 	MedianLatency time.Duration // time until half of the shards had answered
 	Refused       int           // attempts refused for lack of capacity
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -57,7 +57,7 @@
 	t.Parallel()
 	requests := make(chan relay.Request, 1)
 	first := relay.Result{Shards: []int{0, 2}, Signatures: []string{"p0", "p2"}, Records: []byte("0123456789abcdef"), MedianLatency: time.Millisecond}
-	last := relay.Result{Failed: []int{1}, MayHaveRun: true, Last: true, Refused: 3}
+	last := relay.Result{Unsent: []int{1}, MayHaveRun: true, Last: true, Refused: 3}
 	link, _ := connect(t, relayServer(func(_ context.Context, request relay.Request, reply func(relay.Result)) {
 		requests <- request
 		reply(first)
--- a/scatter/progress.go
+++ b/scatter/progress.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// ReturnDelegation records that the host to which a shard was delegated has made
+// no attempt at it.
+func (p *Progress) ReturnDelegation(i int) {
+	s := &p.shards[i]
+	s.delegated = false
+	s.attempts--
+}
+
 // AddResult records that a partial result of a shard was received, and reports
 // whether it is the first.
 func (p *Progress) AddResult(i int) bool {
@@ -184,13 +192,19 @@
 // MayHaveRun reports whether any attempt may have run.
 func (p *Progress) MayHaveRun() bool {
 	for i := range p.shards {
-		if p.shards[i].mayHaveRun || p.shards[i].inFlight > 0 {
+		if p.ShardMayHaveRun(i) {
 			return true
 		}
 	}
 	return false
 }
 
+// ShardMayHaveRun reports whether an attempt at a shard may have run.
+func (p *Progress) ShardMayHaveRun(i int) bool {
+	s := &p.shards[i]
+	return s.mayHaveRun || s.inFlight > 0
+}
+
 // Missing returns the number of shards without a partial result.
 func (p *Progress) Missing() int { return p.params.Shards - p.results }
 
