perf(balance): a target is avoided by the share of its requests that fail

Change: each target has a moving failure rate with a half-life of 4 s without requests. It raises the expected cost by 12 times the rate: one failure alone, a rate of a quarter, does not yet move requests to another zone (TestChooseAvoidsFailingTarget, unchanged).

The new test fails without the change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,8 +16,15 @@
 const (
 	// Weight of the newest observation in a moving average.
 	smoothing = 0.2
-	// Half-life of the measured slowness of a target that gets no requests.
-	slownessHalfLife = 2 * time.Second
+	// Half-lives of the measured slowness and failure rate of a target that gets
+	// no requests.
+	slownessHalfLife    = 2 * time.Second
+	failureRateHalfLife = 4 * time.Second
+	// Weight of the newest request in the failure rate.
+	failureSmoothing = 0.25
+	// Cost of a failed request, relative to an answer of typical speed. It includes
+	// the retry, which draws on a small budget.
+	failureCost = 12.0
 	// Upper bound on the slowness that a single request contributes.
 	maxSlowness = 20.0
 	// Backoff after the first failure; doubles with each consecutive one.
@@ -39,8 +46,9 @@
 
 // targetStats holds the statistics of one target.
 type targetStats struct {
-	slowness     float64 // moving average of its times relative to the typical ones; zero if not measured
-	updated      time.Time
+	slowness     float64              // moving average of its times relative to the typical ones; zero if not measured
+	failureRate  float64              // moving average of the share of failed requests
+	updated      time.Time            // time of the latest observation
 	inFlight     map[uint64]time.Time // start times by request ID
 	failures     int                  // consecutive
 	backoffUntil time.Time            // the target is avoided until then
@@ -76,6 +84,7 @@
 func (b *Balancer) Complete(now time.Time, request InFlight, took time.Duration) {
 	s := b.stats(request.target)
 	delete(s.inFlight, request.id)
+	s.observeFailure(now, 0)
 	s.failures = 0
 	s.backoffUntil = time.Time{}
 	typical := b.TypicalSeconds(request.kind)
@@ -83,7 +92,7 @@
 		b.setTypical(request.kind, took.Seconds())
 		return
 	}
-	b.updateSlowness(now, s, took, typical)
+	s.observeLatency(now, took, typical)
 	// The small weight and the cap keep slow targets from raising the typical
 	// time as much as they would raise a mean.
 	b.setTypical(request.kind, typical+smoothing/10*(min(took.Seconds(), 3*typical)-typical))
@@ -94,6 +103,7 @@
 func (b *Balancer) Fail(now time.Time, request InFlight) {
 	s := b.stats(request.target)
 	delete(s.inFlight, request.id)
+	s.observeFailure(now, 1)
 	backoff := min(initialBackoff<<min(s.failures, 10), maxBackoff)
 	s.failures++
 	s.backoffUntil = now.Add(backoff)
@@ -106,15 +116,28 @@
 	s := b.stats(request.target)
 	delete(s.inFlight, request.id)
 	typical := b.TypicalSeconds(request.kind)
-	if typical <= 0 || took.Seconds() < typical*b.slowness(now, s) {
+	if typical <= 0 || took.Seconds() < typical*s.slownessAt(now) {
 		return
 	}
-	b.updateSlowness(now, s, took, typical)
+	s.observeLatency(now, took, typical)
 }
 
-// updateSlowness adds the time of one request to the slowness of its target.
-func (b *Balancer) updateSlowness(now time.Time, s *targetStats, took time.Duration, typical float64) {
-	s.slowness = b.slowness(now, s)*(1-smoothing) + min(took.Seconds()/typical, maxSlowness)*smoothing
+// observeLatency adds the time of one request to the slowness of a target.
+func (s *targetStats) observeLatency(now time.Time, took time.Duration, typical float64) {
+	s.decay(now)
+	s.slowness += smoothing * (min(took.Seconds()/typical, maxSlowness) - s.slowness)
+}
+
+// observeFailure adds the outcome of one request to the failure rate of a target:
+// 1 for a failure, 0 for an answer.
+func (s *targetStats) observeFailure(now time.Time, failed float64) {
+	s.decay(now)
+	s.failureRate += failureSmoothing * (failed - s.failureRate)
+}
+
+// decay brings the moving averages up to now.
+func (s *targetStats) decay(now time.Time) {
+	s.slowness, s.failureRate = s.slownessAt(now), s.failureRateAt(now)
 	s.updated = now
 }
 
@@ -156,7 +179,8 @@
 // relative to an idle target of typical speed. It ignores the network path.
 func (b *Balancer) Cost(now time.Time, t *catalog.Target, kind string) float64 {
 	s := b.stats(t.ID())
-	cost := b.slowness(now, s) * float64(len(s.inFlight)+1)
+	cost := s.slownessAt(now) * float64(len(s.inFlight)+1)
+	cost *= 1 + failureCost*s.failureRateAt(now)
 	if b.stalled(now, s, kind) {
 		cost *= stallCost
 	}
@@ -170,7 +194,7 @@
 // stalled reports whether a request has been in flight for so much longer than
 // expected that the target has probably stalled.
 func (b *Balancer) stalled(now time.Time, s *targetStats, kind string) bool {
-	typical := b.TypicalSeconds(kind) * b.slowness(now, s)
+	typical := b.TypicalSeconds(kind) * s.slownessAt(now)
 	if typical <= 0 {
 		return false
 	}
@@ -182,14 +206,24 @@
 	return false
 }
 
-// slowness returns the slowness of a target at now. It decays towards 1, the
+// slownessAt returns the slowness of a target at now. It decays towards 1, the
 // typical speed, while the target is not used.
-func (b *Balancer) slowness(now time.Time, s *targetStats) float64 {
+func (s *targetStats) slownessAt(now time.Time) float64 {
 	if s.slowness == 0 {
 		return 1
 	}
-	idle := now.Sub(s.updated)
-	return 1 + (s.slowness-1)*math.Exp2(-idle.Seconds()/slownessHalfLife.Seconds())
+	return 1 + (s.slowness-1)*halvings(now.Sub(s.updated), slownessHalfLife)
+}
+
+// failureRateAt returns the failure rate of a target at now. It decays towards
+// zero while the target is not used.
+func (s *targetStats) failureRateAt(now time.Time) float64 {
+	return s.failureRate * halvings(now.Sub(s.updated), failureRateHalfLife)
+}
+
+// halvings returns the factor of an exponential decay over a time.
+func halvings(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
 }
 
 func (b *Balancer) stats(id magnoliashore.TargetID) *targetStats {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -106,6 +106,27 @@
 	}
 }
 
+// TestPartlyFailingTargetIsAvoided alternates between failures and answers of the
+// target in the own zone: it must be avoided although no two failures are
+// consecutive, and used again some time after its last failure.
+func TestPartlyFailingTargetIsAvoided(t *testing.T) {
+	t.Parallel()
+	b := &balance.Balancer{Zone: "a"}
+	bad, good := target("bad", "a"), target("good", "b")
+	both := []*catalog.Target{bad, good}
+	now := start
+	for range 6 {
+		b.Fail(now, b.Start(now, bad, kind))
+		now = answer(b, now.Add(50*time.Millisecond), bad, 30*time.Millisecond)
+	}
+	if got := b.Choose(now, both, kind, nil); got != good {
+		t.Errorf("got %s, want the target that does not fail", got.ID())
+	}
+	if got := b.Choose(now.Add(20*time.Second), both, kind, nil); got != bad {
+		t.Errorf("got %s 20 s after the last failure, want the target in its own zone", got.ID())
+	}
+}
+
 // TestChooseWithoutStatistics starts 60 hosts at once, each with one request for
 // a service with three targets in its zone: they must not all choose the same.
 func TestChooseWithoutStatistics(t *testing.T) {
