feat(balance): hosts share what they know of slow and failing targets

Change: a batch and its last result carry up to 16 observations, the worst first: slowness, failure rate and age of targets of the batch's services. A newer observation replaces an older one; requests of the own host go on updating it, and it decays with the same half-lives, so no report takes a target out of use. Observations out of range, older than 3 s or of unknown targets are dropped and counted. The path of the socket now ends with the version of the messages: hosts of the version before refuse it and get no batches, so each side queries its shards itself.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -16,6 +16,7 @@
 // an outcome.
 func (e *Engine) Batch(ctx context.Context, request relay.Request, reply func(relay.Result)) {
 	now := e.Timer.Now()
+	e.adopt(request.Observations)
 	q := &query{
 		request: origin.Request{
 			Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
@@ -38,6 +39,7 @@
 		result := r.nextResult()
 		if result.Last = decision != scatter.Wait; result.Last {
 			result.Unsent = r.unsentShards()
+			result.Observations = e.report(request.Shards)
 		}
 		reply(result)
 		if result.Last {
--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
@@ -205,3 +206,19 @@
 	}
 	return all
 }
+
+// TestObservationsOutOfRangeAreDropped sends a batch with one valid observation
+// and two that must have no effect.
+func TestObservationsOutOfRangeAreDropped(t *testing.T) {
+	t.Parallel()
+	e := testEngine(catalog.NewView(nil, []*catalog.Target{targetOf("t1", time.Time{}), targetOf("t2", time.Time{})}), retry.Limit{})
+	e.adopt([]balance.Observation{
+		{Target: "t1", Slowness: 4}, {Target: "t2", Slowness: -1}, {Target: "unknown", Slowness: 4},
+	})
+	if got := e.Metrics.observationsDropped.Get(); got != 2 {
+		t.Errorf("got %d dropped observations, want 2", got)
+	}
+	if got := e.report([]magnoliashore.ServiceName{"s"}); len(got) != 1 || got[0].Target != "t1" {
+		t.Errorf("got report %+v, want the valid observation of t1", got)
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -102,6 +102,7 @@
 	for _, i := range b.Shards {
 		request.Shards = append(request.Shards, q.services[i])
 	}
+	request.Observations = e.report(request.Shards)
 	call, err := link.Send(request)
 	if err != nil {
 		return false
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,9 @@
 	newConnections *metrics.Counter
 	batches        *metrics.Counter
 	logDropped     *metrics.Counter
+
+	observations        *metrics.Counter // received from other hosts
+	observationsDropped *metrics.Counter
 }
 
 // NewMetrics returns metrics that are all zero.
@@ -47,6 +50,9 @@
 		newConnections: s.NewCounter("magnoliashore_gateway_connections_total"),
 		batches:        s.NewCounter("magnoliashore_gateway_batches_total"),
 		logDropped:     s.NewCounter("magnoliashore_gateway_log_lines_dropped_total"),
+
+		observations:        s.NewCounter("magnoliashore_gateway_observations_total"),
+		observationsDropped: s.NewCounter("magnoliashore_gateway_observations_dropped_total"),
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -237,6 +237,7 @@
 		r.retryLostBatch(b)
 		return
 	}
+	r.engine.adopt(ev.batchResult.Observations)
 	r.batchMedian = max(r.batchMedian, ev.batchResult.MedianLatency)
 	r.refused += ev.batchResult.Refused
 	if len(ev.batchResult.Shards) > 0 && b.allPending(ev.batchResult.Shards) {
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
 )
 
 // Kinds of frames.
@@ -46,6 +47,7 @@
 	Attempts     int
 	TopK         int
 	Shards       []string
+	Observations []wireObservation
 }
 
 type wireResult struct {
@@ -58,6 +60,15 @@
 	Last          bool
 	MedianLatency int64 // microseconds
 	Refused       int
+	Observations  []wireObservation
+}
+
+type wireObservation struct {
+	_           struct{} `cbor:",toarray"`
+	Target      string
+	Slowness    float32
+	FailureRate float32
+	Age         int64 // microseconds
 }
 
 func encode(f wireFrame) ([]byte, error) {
@@ -86,6 +97,7 @@
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Kind: r.Kind, Priority: r.Priority, Timeout: r.Timeout.Microseconds(), Hedge: r.HedgeAfter.Microseconds(),
 		PartialAfter: r.PartialAfter.Microseconds(), Attempts: r.MaxAttempts, TopK: r.TopK, Shards: shards,
+		Observations: encodeObservations(r.Observations),
 	}
 }
 
@@ -98,6 +110,7 @@
 		ID: w.ID, Method: w.Method, URI: w.URI, Host: w.Host, Header: http.Header(w.Header), Body: w.Body,
 		Kind: w.Kind, Priority: w.Priority, Timeout: fromMicros(w.Timeout), HedgeAfter: fromMicros(w.Hedge),
 		PartialAfter: fromMicros(w.PartialAfter), MaxAttempts: w.Attempts, TopK: w.TopK, Shards: shards,
+		Observations: decodeObservations(w.Observations),
 	}
 }
 
@@ -107,6 +120,7 @@
 	return &wireResult{
 		Shards: r.Shards, Signatures: r.Signatures, Records: r.Records, Unsent: r.Unsent, MayHaveRun: r.MayHaveRun, Last: r.Last,
 		MedianLatency: r.MedianLatency.Microseconds(), Refused: r.Refused,
+		Observations: encodeObservations(r.Observations),
 	}
 }
 
@@ -126,5 +140,26 @@
 	return Result{
 		Shards: w.Shards, Signatures: w.Signatures, Records: w.Records, Unsent: w.Unsent, MayHaveRun: w.MayHaveRun, Last: w.Last,
 		MedianLatency: fromMicros(w.MedianLatency), Refused: w.Refused,
+		Observations: decodeObservations(w.Observations),
 	}, nil
 }
+
+func encodeObservations(list []balance.Observation) []wireObservation {
+	var encoded []wireObservation
+	for _, o := range list {
+		encoded = append(encoded, wireObservation{
+			Target: string(o.Target), Slowness: float32(o.Slowness), FailureRate: float32(o.FailureRate), Age: o.Age.Microseconds(),
+		})
+	}
+	return encoded
+}
+
+func decodeObservations(list []wireObservation) []balance.Observation {
+	var decoded []balance.Observation
+	for _, w := range list {
+		decoded = append(decoded, balance.Observation{
+			Target: magnoliashore.TargetID(w.Target), Slowness: float64(w.Slowness), FailureRate: float64(w.FailureRate), Age: fromMicros(w.Age),
+		})
+	}
+	return decoded
+}
--- a/relay/link.go
+++ b/relay/link.go
@@ -14,8 +14,9 @@
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
-// Path is the URL path of the WebSocket between hosts.
-const Path = "/relay"
+// Path is the URL path of the WebSocket between hosts. It ends with the version
+// of the messages: hosts of another version get no batches.
+const Path = "/relay/2"
 
 const (
 	// Timeout for connecting to another host, about 100 round trips in a region.
--- a/relay/message.go
+++ b/relay/message.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
 )
 
 // Request asks another host to query a batch of shards. Its durations start
@@ -28,6 +29,7 @@
 	MaxAttempts  int                         // most attempts for one shard
 	TopK         int                         // most records in a result
 	Shards       []magnoliashore.ServiceName // the service to query for each shard
+	Observations []balance.Observation       // what the sender knows about their targets
 }
 
 // Result holds the merged partial results of some shards of a batch. A batch
@@ -36,9 +38,10 @@
 	Shards        []int // indexes in Request.Shards
 	Signatures    []string
 	Records       []byte
-	Unsent        []int         // indexes of shards that were not requested from any target; set in the last result
-	MayHaveRun    bool          // an attempt at another shard without a partial result may have run
-	Last          bool          // no further result follows
-	MedianLatency time.Duration // time until half of the shards had answered
-	Refused       int           // attempts refused for lack of capacity
+	Unsent        []int                 // indexes of shards that were not requested from any target; set in the last result
+	MayHaveRun    bool                  // an attempt at another shard without a partial result may have run
+	Last          bool                  // no further result follows
+	MedianLatency time.Duration         // time until half of the shards had answered
+	Refused       int                   // attempts refused for lack of capacity
+	Observations  []balance.Observation // what the sender knows about the targets of the batch; set in the last result
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
@@ -26,6 +27,7 @@
 		ID: "a1", Method: http.MethodPost, URI: "/x/?q=%2f", Host: "h", Header: http.Header{"X": {"1", "2"}}, Body: []byte("b"),
 		Kind: "r", Priority: 2, Timeout: time.Second, HedgeAfter: 30 * time.Millisecond, PartialAfter: 80 * time.Millisecond,
 		MaxAttempts: 2, TopK: 5, Shards: []magnoliashore.ServiceName{"s1", "s2", "s3"},
+		Observations: []balance.Observation{{Target: "t", Slowness: 3, Age: 50 * time.Millisecond}},
 	}
 }
 
@@ -57,7 +59,10 @@
 	t.Parallel()
 	requests := make(chan relay.Request, 1)
 	first := relay.Result{Shards: []int{0, 2}, Signatures: []string{"p0", "p2"}, Records: []byte("0123456789abcdef"), MedianLatency: time.Millisecond}
-	last := relay.Result{Unsent: []int{1}, MayHaveRun: true, Last: true, Refused: 3}
+	last := relay.Result{
+		Unsent: []int{1}, MayHaveRun: true, Last: true, Refused: 3,
+		Observations: []balance.Observation{{Target: "t", Slowness: 2.5, FailureRate: 0.25, Age: 20 * time.Millisecond}},
+	}
 	link, _ := connect(t, relayServer(func(_ context.Context, request relay.Request, reply func(relay.Result)) {
 		requests <- request
 		reply(first)
