perf(balance): a cancelled request counts with the time it would have taken

Cause: attempts end when a hedge has been answered, about three typical times after their start, so a target that is six or nine times slower never looks more than three times slower, and its zone's hosts keep choosing it up to a factor of four.

Change: a cancelled request counts as twice the time until then, also beyond what is known of the target.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,6 +25,9 @@
 	// Cost of a failed request, relative to an answer of typical speed. It includes
 	// the retry, which draws on a small budget.
 	failureCost = 12.0
+	// Expected time of a request that was cancelled, relative to the time until
+	// then: without an answer so far, it is expected to take as long again.
+	cancelledFactor = 2
 	// Upper bound on the slowness that a single request contributes.
 	maxSlowness = 20.0
 	// Backoff after the first failure; doubles with each consecutive one.
@@ -110,16 +113,17 @@
 }
 
 // Abandon records that a request ended for a reason unrelated to its target,
-// took after its start. If that is longer than expected, it counts as the
-// latency of the request, since the real one would have been at least as long.
+// took after its start. If that is longer than expected, the request counts with
+// the latency that it would probably have had.
 func (b *Balancer) Abandon(now time.Time, request InFlight, took time.Duration) {
 	s := b.stats(request.target)
 	delete(s.inFlight, request.id)
 	typical := b.TypicalSeconds(request.kind)
-	if typical <= 0 || took.Seconds() < typical*s.slownessAt(now) {
+	expected := cancelledFactor * took
+	if typical <= 0 || took.Seconds() < typical || expected.Seconds() < typical*s.slownessAt(now) {
 		return
 	}
-	s.observeLatency(now, took, typical)
+	s.observeLatency(now, expected, typical)
 }
 
 // observeLatency adds the time of one request to the slowness of a target.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -127,6 +127,28 @@
 	}
 }
 
+// TestCancelledRequestsShowASlowTarget has a target in the own zone that is six
+// times slower. None of its requests is answered, since each is cancelled when a
+// hedge has been answered first: it must be avoided nevertheless.
+func TestCancelledRequestsShowASlowTarget(t *testing.T) {
+	t.Parallel()
+	const typical, untilHedged = 30 * time.Millisecond, 90 * time.Millisecond
+	b := &balance.Balancer{Zone: "a"}
+	slow, far := target("slow", "a"), target("far", "b")
+	now := start
+	for range 20 {
+		now = answer(b, now, far, typical)
+	}
+	for range 10 {
+		request := b.Start(now, slow, kind)
+		now = now.Add(untilHedged)
+		b.Abandon(now, request, untilHedged)
+	}
+	if got := b.Choose(now, []*catalog.Target{slow, far}, kind, nil); got != far {
+		t.Errorf("got %s, want the target that answers", got.ID())
+	}
+}
+
 // TestChooseWithoutStatistics starts 60 hosts at once, each with one request for
 // a service with three targets in its zone: they must not all choose the same.
 func TestChooseWithoutStatistics(t *testing.T) {
