perf(gateway): a batch returns its observations with the first result

Cause: while targets are slow, the coordinator often answers before the last result of a batch, which carried the observations, so they were lost just when they mattered.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -30,16 +30,18 @@
 	r, cancel := e.start(ctx, q)
 	defer cancel()
 	r.reportAt = now.Add(request.PartialAfter)
-	for {
+	for first := true; ; first = false {
 		decision, ok := r.wait(ctx)
 		if !ok {
 			e.logBatch(request, r, "not needed any more")
 			return
 		}
 		result := r.nextResult()
+		if first { // the last result may never be needed
+			result.Observations = e.report(request.Shards)
+		}
 		if result.Last = decision != scatter.Wait; result.Last {
 			result.Unsent = r.unsentShards()
-			result.Observations = e.report(request.Shards)
 		}
 		reply(result)
 		if result.Last {
--- a/relay/message.go
+++ b/relay/message.go
@@ -43,5 +43,5 @@
 	Last          bool                  // no further result follows
 	MedianLatency time.Duration         // time until half of the shards had answered
 	Refused       int                   // attempts refused for lack of capacity
-	Observations  []balance.Observation // what the sender knows about the targets of the batch; set in the last result
+	Observations  []balance.Observation // what the sender knows about the targets of the batch; set in the first result
 }
