perf(balance): a cancelled request counts as three times its time

Hypothesis: twice the time until the cancellation is still too little for targets that are six to nine times slower, whose requests are cancelled after three typical times.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,8 +26,9 @@
 	// the retry, which draws on a small budget.
 	failureCost = 12.0
 	// Expected time of a request that was cancelled, relative to the time until
-	// then: without an answer so far, it is expected to take as long again.
-	cancelledFactor = 2
+	// then. Latencies have a long tail: a request without an answer so far is
+	// expected to take longer still.
+	cancelledFactor = 3
 	// Upper bound on the slowness that a single request contributes.
 	maxSlowness = 20.0
 	// Backoff after the first failure; doubles with each consecutive one.
