--- /dev/null
+++ b/balance/bench_test.go
@@ -0,0 +1,65 @@
+package balance_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/balance"
+	"github.com/magnoliashore/magnoliashore/catalog"
+)
+
+// manyShards returns 135 shards of three replicas each, a tenth of them slow.
+func manyShards(b *balance.Balancer) (shards [][]*catalog.Target, all []*catalog.Target) {
+	for i := range 135 {
+		replicas := make([]*catalog.Target, 0, 3)
+		for j := range 3 {
+			t := target(magnoliashore.TargetID(strconv.Itoa(i)+"-"+strconv.Itoa(j)), magnoliashore.ZoneName("abc"[j:j+1]))
+			replicas = append(replicas, t)
+			if (i+j)%10 == 0 {
+				b.Adopt(start, balance.Observation{Target: t.ID(), Slowness: 6})
+			}
+		}
+		shards, all = append(shards, replicas), append(all, replicas...)
+	}
+	return shards, all
+}
+
+// BenchmarkChoose measures the choice of a replica for each of 135 shards.
+func BenchmarkChoose(b *testing.B) {
+	balancer := &balance.Balancer{Zone: "a"}
+	shards, _ := manyShards(balancer)
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, replicas := range shards {
+			balancer.Choose(start, replicas, kind, nil)
+		}
+	}
+}
+
+// BenchmarkReport measures the report for a batch of 45 shards.
+func BenchmarkReport(b *testing.B) {
+	balancer := &balance.Balancer{Zone: "a"}
+	_, all := manyShards(balancer)
+	b.ReportAllocs()
+	for b.Loop() {
+		balancer.Report(start, all[:3*45])
+	}
+}
+
+// BenchmarkAdopt measures a report of 16 observations from each of 80 hosts.
+func BenchmarkAdopt(b *testing.B) {
+	balancer := &balance.Balancer{Zone: "a"}
+	_, all := manyShards(balancer)
+	report := balancer.Report(start, all)
+	b.ReportAllocs()
+	for b.Loop() {
+		for host := range 80 {
+			for _, o := range report {
+				o.Age = time.Duration(host) * time.Millisecond
+				balancer.Adopt(start, o)
+			}
+		}
+	}
+}
--- a/balance/observation_test.go
+++ b/balance/observation_test.go
@@ -101,8 +101,10 @@
 func TestReportIsBounded(t *testing.T) {
 	t.Parallel()
 	b := &balance.Balancer{Zone: "a"}
-	all := []*catalog.Target{target("fast", "a")}
-	now := answer(b, start, all[0], 30*time.Millisecond)
+	all := make([]*catalog.Target, 0, 41)
+	fast := target("fast", "a")
+	all = append(all, fast)
+	now := answer(b, start, fast, 30*time.Millisecond)
 	for i := range 40 {
 		x := target(magnoliashore.TargetID("slow"+strconv.Itoa(i)), "a")
 		all = append(all, x)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -6,11 +6,14 @@
 	"github.com/magnoliashore/magnoliashore/catalog"
 )
 
+// typicalReplicas is the usual number of targets of a shard.
+const typicalReplicas = 3
+
 // report returns what this host knows about the slow and failing targets of some
 // services, for another host that queries them too.
 func (e *Engine) report(services []magnoliashore.ServiceName) []balance.Observation {
 	view := e.View()
-	var targets []*catalog.Target
+	targets := make([]*catalog.Target, 0, typicalReplicas*len(services))
 	for _, service := range services {
 		targets = append(targets, view.Targets(service)...)
 	}
--- a/relay/codec.go
+++ b/relay/codec.go
@@ -145,7 +145,10 @@
 }
 
 func encodeObservations(list []balance.Observation) []wireObservation {
-	var encoded []wireObservation
+	if len(list) == 0 {
+		return nil
+	}
+	encoded := make([]wireObservation, 0, len(list))
 	for _, o := range list {
 		encoded = append(encoded, wireObservation{
 			Target: string(o.Target), Slowness: float32(o.Slowness), FailureRate: float32(o.FailureRate), Age: o.Age.Microseconds(),
@@ -155,7 +158,10 @@
 }
 
 func decodeObservations(list []wireObservation) []balance.Observation {
-	var decoded []balance.Observation
+	if len(list) == 0 {
+		return nil
+	}
+	decoded := make([]balance.Observation, 0, len(list))
 	for _, w := range list {
 		decoded = append(decoded, balance.Observation{
 			Target: magnoliashore.TargetID(w.Target), Slowness: float64(w.Slowness), FailureRate: float64(w.FailureRate), Age: fromMicros(w.Age),
