--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -55,6 +55,25 @@
 	return &relay.Server{Handle: handle, Timer: &timer.Service{}, Log: quiet}
 }
 
+// TestHostOfAnotherVersionTakesNoBatches connects to a host that serves the
+// socket at the path of another version.
+func TestHostOfAnotherVersionTakesNoBatches(t *testing.T) {
+	t.Parallel()
+	mux := http.NewServeMux()
+	mux.Handle("/relay", relayServer(func(context.Context, relay.Request, func(relay.Result)) {
+		t.Error("got a batch at a host of another version, want none")
+	}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	link := &relay.Link{Peer: strings.TrimPrefix(server.URL, "http://"), Timer: &timer.Service{}, Log: quiet}
+	t.Cleanup(link.Close)
+	link.Connect()
+	time.Sleep(100 * time.Millisecond) // many times what connecting takes
+	if _, err := link.Send(testRequest()); !errors.Is(err, relay.ErrNotConnected) {
+		t.Errorf("got error %v, want %v", err, relay.ErrNotConnected)
+	}
+}
+
 func TestRequestAndResultsArriveUnchanged(t *testing.T) {
 	t.Parallel()
 	requests := make(chan relay.Request, 1)
