perf(gateway): a host sends at most 240 observations a second

Observations go with each batch. At the size to come, 148 queries a second and host, and with many slow targets they would exceed the 7 KB/s of control traffic many times. Tests: the rate at 148 batches a second of 16 observations, and the encoded size of 240.

--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -207,6 +207,23 @@
 	return all
 }
 
+// TestObservationsStayWithinTheirRate reports 16 slow targets with each of 148
+// batches a second, the rate of a host at the size to come: no more than the rate,
+// and a full bucket at the start, may be sent.
+func TestObservationsStayWithinTheirRate(t *testing.T) {
+	t.Parallel()
+	const batches, seconds = 148, 10
+	var limit observationLimit
+	now, sent := time.Unix(1000, 0), 0
+	for range batches * seconds {
+		now = now.Add(time.Second / batches)
+		sent += limit.take(now, 16)
+	}
+	if most := int(maxObservationRate * (seconds + 1)); sent > most || sent < int(maxObservationRate)*(seconds-1) {
+		t.Errorf("got %d observations in %d s, want about %.0f a second", sent, seconds, maxObservationRate)
+	}
+}
+
 // TestObservationsOutOfRangeAreDropped sends a batch with one valid observation
 // and two that must have no effect.
 func TestObservationsOutOfRangeAreDropped(t *testing.T) {
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -60,6 +60,8 @@
 	Balancer    *balance.Balancer
 	Budget      *retry.Budget
 	ColdLimiter *admit.ColdLimiter
+
+	observations observationLimit
 }
 
 // attempt is one send of a request to a target.
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -1,13 +1,35 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 )
 
-// typicalReplicas is the usual number of targets of a shard.
-const typicalReplicas = 3
+const (
+	// Usual number of targets of a shard.
+	typicalReplicas = 3
+	// Observations that a host sends per second. At 29 bytes each, they stay below
+	// 7 KB/s whatever the rate of queries.
+	maxObservationRate = 240.0
+)
+
+// observationLimit is a token bucket for the observations that a host sends.
+type observationLimit struct {
+	tokens   float64
+	refilled time.Time
+}
+
+// take returns how many of n observations may be sent now, and counts them.
+func (l *observationLimit) take(now time.Time, n int) int {
+	l.tokens = min(l.tokens+maxObservationRate*now.Sub(l.refilled).Seconds(), maxObservationRate)
+	l.refilled = now
+	n = min(n, int(l.tokens))
+	l.tokens -= float64(n)
+	return n
+}
 
 // report returns what this host knows about the slow and failing targets of some
 // services, for another host that queries them too.
@@ -19,7 +41,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.Balancer.Report(e.Timer.Now(), targets)
+	now := e.Timer.Now()
+	observations := e.Balancer.Report(now, targets)
+	return observations[:e.observations.take(now, len(observations))]
 }
 
 // adopt takes over the observations of another host. It drops those that are out
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -183,3 +183,21 @@
 		}
 	}
 }
+
+// TestObservationsAreSmall checks the size of the observations that a host may
+// send per second, against the limit on its control traffic.
+func TestObservationsAreSmall(t *testing.T) {
+	t.Parallel()
+	const perSecond, limit = 240, 7000 // bytes
+	list := make([]balance.Observation, perSecond)
+	for i := range list {
+		list[i] = balance.Observation{Target: "i-0123456789", Slowness: 9.3, FailureRate: 0.41, Age: 2999 * time.Millisecond}
+	}
+	size, err := relay.ObservationsSize(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size > limit {
+		t.Errorf("got %d bytes, want at most %d", size, limit)
+	}
+}
