feat(gateway): a log line on observations of other hosts

What other hosts report changes which targets are chosen, so it appears in the log: once a second at most, with counts and the worst observation, its age included.

--- a/balance/observation.go
+++ b/balance/observation.go
@@ -50,19 +50,23 @@
 			Target: t.ID(), Slowness: s.slowness, FailureRate: s.failureRate, Age: max(0, now.Sub(s.updated)),
 		})
 	}
-	slices.SortFunc(report, func(x, y Observation) int { return cmp.Compare(y.cost(), x.cost()) })
+	slices.SortFunc(report, func(x, y Observation) int { return cmp.Compare(y.Cost(), x.Cost()) })
 	return report[:min(len(report), maxReported)]
 }
 
-// Adopt takes over an observation of another host if it is newer than what this
-// host knows about the target. Requests of this host keep updating it, and it
-// decays like an own one, so that no report alone excludes a target for long.
-func (b *Balancer) Adopt(now time.Time, o Observation) {
-	at := now.Add(-o.Age)
-	if s := b.stats(o.Target); at.After(s.updated) {
-		s.slowness, s.failureRate, s.updated = o.Slowness, o.FailureRate, at
+// Adopt takes over an observation of another host, and reports whether it is newer
+// than what this host knows about the target. Requests of this host keep updating
+// it, and it decays like an own one, so that no report alone excludes a target for
+// long.
+func (b *Balancer) Adopt(now time.Time, o Observation) bool {
+	s, at := b.stats(o.Target), now.Add(-o.Age)
+	if !at.After(s.updated) {
+		return false
 	}
+	s.slowness, s.failureRate, s.updated = o.Slowness, o.FailureRate, at
+	return true
 }
 
-// cost returns the expected cost of a request to an idle target.
-func (o Observation) cost() float64 { return o.Slowness * (1 + failureCost*o.FailureRate) }
+// Cost returns the expected cost of a request to the target while it is idle,
+// relative to one of typical speed.
+func (o Observation) Cost() float64 { return o.Slowness * (1 + failureCost*o.FailureRate) }
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -62,6 +62,7 @@
 	ColdLimiter *admit.ColdLimiter
 
 	observations observationLimit
+	adoptions    adoptions
 }
 
 // attempt is one send of a request to a target.
