--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -15,15 +15,7 @@
 
 func TestRequest(t *testing.T) {
 	t.Parallel()
-	file, err := os.Open("testdata/hosts.log")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = file.Close() })
-	lines, err := explain.Read(file)
-	if err != nil {
-		t.Fatal(err)
-	}
+	lines := readLog(t, "testdata/hosts.log")
 	var b strings.Builder
 	for _, l := range explain.Request(lines, "abc1") {
 		fmt.Fprintf(&b, "%s %s %s\n", l.At().Format("15:04:05.000"), l.Host(), l.Text())
@@ -33,15 +25,7 @@
 
 func TestSummary(t *testing.T) {
 	t.Parallel()
-	file, err := os.Open("testdata/requests.log")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = file.Close() })
-	lines, err := explain.Read(file)
-	if err != nil {
-		t.Fatal(err)
-	}
+	lines := readLog(t, "testdata/requests.log")
 	var b strings.Builder
 	if err := explain.Summarize(lines, time.Second).Write(&b); err != nil {
 		t.Fatal(err)
@@ -56,6 +40,20 @@
 	}
 }
 
+func readLog(t *testing.T, path string) []explain.Line {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = file.Close() })
+	lines, err := explain.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
 func wantGolden(t *testing.T, path, got string) {
 	t.Helper()
 	if *update {
