--- a/explain/summary.go
+++ b/explain/summary.go
@@ -58,7 +58,7 @@
 func (s *Summary) add(in *interval, l Line) {
 	if l.fields["message"] == messageRefused {
 		in.refused++
-		s.reasons[general(l.fields["reason"])]++
+		s.reasons[generalize(l.fields["reason"])]++
 		return
 	}
 	missing, _ := strconv.Atoi(l.fields["missing"]) // zero if the field is absent
@@ -66,7 +66,8 @@
 		in.latencies = append(in.latencies, took)
 	}
 	in.missing += missing
-	switch status, _ := strconv.Atoi(l.fields["outcome"]); {
+	status, _ := strconv.Atoi(l.fields["outcome"]) // zero if the caller has left
+	switch {
 	case status < 200 || status >= 300:
 		in.failed++
 		s.reasons["outcome "+l.fields["outcome"]]++
@@ -86,7 +87,7 @@
 			continue
 		}
 		s.shards[shard]++
-		s.reasons["shard "+general(reason)]++
+		s.reasons["shard "+generalize(reason)]++
 	}
 }
 
@@ -94,7 +95,9 @@
 // one failure to the next of the same kind.
 var particulars = regexp.MustCompile(`\bi-\w+ ?|\d+(\.\d+){3}:\d+|\b\d+ of \d+\b`)
 
-func general(reason string) string {
+// generalize removes the particulars of a reason, so that reasons of one kind are
+// counted together.
+func generalize(reason string) string {
 	return strings.TrimSpace(particulars.ReplaceAllString(reason, ""))
 }
 
@@ -122,7 +125,9 @@
 	return in.latencies[int(q*float64(len(in.latencies)-1))].Round(time.Millisecond)
 }
 
-func writeCounts(w io.Writer, title string, counts map[string]int) {
+// writeCounts writes the highest counts, under a title. Errors are left to the
+// Flush of the table that w is.
+func writeCounts(w *tabwriter.Writer, title string, counts map[string]int) {
 	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
 		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
 	})
