feat(gateway): logs and metrics tell the limits that targets name

A target in need names the requests per second that it takes from all hosts. The field was dropped when an answer was decoded, so no log could tell whether a limit was unknown, known and not shared, or held at the wrong moment. It is now decoded, and a line says when a limit begins, changes and ends, with the age of the request whose answer said so. Nothing acts on it yet.

Answers may overtake each other: one that names no limit ends it only if its request was sent after the limit was last confirmed.

--- a/dialect.go
+++ b/dialect.go
@@ -24,6 +24,8 @@
 	NotRun    bool          // whether the request did not run and never will
 	Instance  string        // ID of the process that answered; empty if absent
 	Cold      time.Duration // remaining time for which the target is cold; zero if absent
+	Limited   bool          // whether the target names a limit
+	Limit     float64       // requests per second that the target takes from all hosts together
 }
 
 // Dialect reads and writes the HTTP header fields of callers and targets.
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -60,6 +60,7 @@
 	Balancer    *balance.Balancer
 	Budget      *retry.Budget
 	ColdLimiter *admit.ColdLimiter
+	limits      admit.NamedLimits
 
 	observations observationLimit
 	adoptions    adoptions
@@ -160,6 +161,25 @@
 	default:
 		e.Balancer.Fail(now, a.inFlight)
 	}
+	if result.Status != 0 {
+		e.observeLimit(now, a.target.ID(), result)
+	}
+}
+
+// observeLimit records the limit that a target names in an answer, or that it
+// names none. The caller holds mu.
+func (e *Engine) observeLimit(now time.Time, id magnoliashore.TargetID, result origin.Result) {
+	former, _ := e.limits.Limit(id)
+	change := e.limits.Observe(now, now.Add(-result.Took), id, result.Reply.Limit, result.Reply.Limited)
+	if change == admit.LimitUnchanged {
+		return
+	}
+	e.Metrics.limitChanges.Inc()
+	fields := log.Fields{"target": string(id), "limit": result.Reply.Limit, "sent": result.Took.Round(time.Millisecond).String()}
+	if change != admit.LimitBegan {
+		fields["former"], fields["lasted"] = former.Rate(), now.Sub(former.Since()).Round(time.Millisecond).String()
+	}
+	e.Log.WithFields(fields).Info(change.String())
 }
 
 // maxConnections returns this host's share of the connections to a target.
@@ -185,6 +205,7 @@
 	defer e.mu.Unlock()
 	e.Balancer.Retain(view.Has)
 	e.ColdLimiter.Retain(view.Has)
+	e.limits.Retain(view.Has)
 }
 
 // setLimits sets the limits on retries and on cold targets.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,8 @@
 	batches        *metrics.Counter
 	logDropped     *metrics.Counter
 
+	limitChanges *metrics.Counter // limits that targets began, changed or ended
+
 	observations        *metrics.Counter // received from other hosts
 	observationsDropped *metrics.Counter
 }
@@ -53,6 +55,8 @@
 		batches:        s.NewCounter("magnoliashore_gateway_batches_total"),
 		logDropped:     s.NewCounter("magnoliashore_gateway_log_lines_dropped_total"),
 
+		limitChanges: s.NewCounter("magnoliashore_gateway_limit_changes_total"),
+
 		observations:        s.NewCounter("magnoliashore_gateway_observations_total"),
 		observationsDropped: s.NewCounter("magnoliashore_gateway_observations_dropped_total"),
 	}
