fix(gateway): hosts together keep the limits that targets name

Callers' requests reached targets in need at the usual rate, whatever limit the targets named: 161 requests in 4 s from six hosts at twice the load, 481 when one host had all the load, of 125 allowed at 20 a second.

Cause: the limit bounded nothing (hypothesis 1). Dividing it by the number of hosts would not do (hypothesis 2): that leaves most of it unused where one host has the load. So for each target one host, the first in an order that differs from target to target, leases shares of the limit to the others in proportion to their demand. Reports and grants are datagrams, so a silent connection does not delay them; a host without a lease uses an equal part of half of the limit. An issuer that succeeds another one renews what hosts have for the term of a lease, and parts of lost hosts stay unleased for 15 s.

Every attempt is charged where its target is chosen: first attempts, hedges, retries and those of batches. What is over a limit goes to other replicas; if all targets of a service are at theirs, a request is refused at once with the time until it may fit. A host always keeps a small share, so that it learns from an answer when a limit has ended (hypothesis 3).

The token bucket of cold targets now serves both limits.

--- a/admit/cold.go
+++ b/admit/cold.go
@@ -23,13 +23,7 @@
 type ColdLimiter struct {
 	Limit ColdLimit
 
-	buckets map[magnoliashore.TargetID]*coldBucket
-}
-
-// coldBucket is the token bucket of one target.
-type coldBucket struct {
-	tokens   float64
-	refilled time.Time // time of the last refill
+	buckets map[magnoliashore.TargetID]*Bucket
 }
 
 // Sharing describes how hosts share the rate of one target.
@@ -47,29 +41,28 @@
 	if sharing.Rank >= senders {
 		return false
 	}
-	return c.refill(now, id, budget/float64(senders)).tokens >= 1
+	return c.refill(now, id, budget/float64(senders)) >= 1
 }
 
 // Take spends a token for a request that Allows admitted.
 func (c *ColdLimiter) Take(id magnoliashore.TargetID) {
 	if t, ok := c.buckets[id]; ok {
-		t.tokens--
+		t.Take()
 	}
 }
 
-// refill refills the target's bucket at share tokens per second and returns it.
-func (c *ColdLimiter) refill(now time.Time, id magnoliashore.TargetID, share float64) *coldBucket {
+// refill refills the target's bucket at share tokens per second and returns its
+// tokens.
+func (c *ColdLimiter) refill(now time.Time, id magnoliashore.TargetID, share float64) float64 {
 	if c.buckets == nil {
-		c.buckets = make(map[magnoliashore.TargetID]*coldBucket)
+		c.buckets = make(map[magnoliashore.TargetID]*Bucket)
 	}
-	t, ok := c.buckets[id]
+	b, ok := c.buckets[id]
 	if !ok {
-		t = &coldBucket{tokens: 1, refilled: now}
-		c.buckets[id] = t
+		b = &Bucket{}
+		c.buckets[id] = b
 	}
-	t.tokens = min(t.tokens+share*now.Sub(t.refilled).Seconds(), max(share, 1))
-	t.refilled = now
-	return t
+	return b.Refill(now, share, max(share, 1))
 }
 
 // Retain removes the buckets of targets for which known returns false.
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/quota"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
 	"github.com/magnoliashore/magnoliashore/scatter"
@@ -44,6 +45,8 @@
 	Rank(id magnoliashore.TargetID) int
 	// HostCount returns the number of hosts that share limits, including this one.
 	HostCount() int
+	// Sharing describes the hosts that share the rates of targets.
+	Sharing() quota.Sharing
 }
 
 // Engine runs queries. Set the exported fields before the first query.
@@ -61,9 +64,12 @@
 	Budget      *retry.Budget
 	ColdLimiter *admit.ColdLimiter
 	limits      admit.NamedLimits
+	quotas      quota.Holder
 
 	observations observationLimit
 	adoptions    adoptions
+
+	reportDue chan struct{} // receives a value when a report to an issuer is due at once
 }
 
 // attempt is one send of a request to a target.
@@ -90,7 +96,7 @@
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
 	rate := coldRequestRate(view, service)
-	t := e.Balancer.Choose(now, e.acceptingTargets(now, view.Targets(service), rate), q.kind, exclude)
+	t := e.chooseBelowLimit(now, e.acceptingTargets(now, view.Targets(service), rate), q.kind, exclude)
 	if t == nil {
 		return attempt{}, false
 	}
@@ -102,6 +108,7 @@
 	if limitedAsCold(now, t, rate) {
 		e.ColdLimiter.Take(t.ID())
 	}
+	e.quotas.Take(t.ID())
 	if kind == firstAttempt {
 		e.Budget.CountRequest(now, service)
 	}
@@ -166,22 +173,6 @@
 	}
 }
 
-// observeLimit records the limit that a target names in an answer, or that it
-// names none. The caller holds mu.
-func (e *Engine) observeLimit(now time.Time, id magnoliashore.TargetID, result origin.Result) {
-	former, _ := e.limits.Limit(id)
-	change := e.limits.Observe(now, now.Add(-result.Took), id, result.Reply.Limit, result.Reply.Limited)
-	if change == admit.LimitUnchanged {
-		return
-	}
-	e.Metrics.limitChanges.Inc()
-	fields := log.Fields{"target": string(id), "limit": result.Reply.Limit, "sent": result.Took.Round(time.Millisecond).String()}
-	if change != admit.LimitBegan {
-		fields["former"], fields["lasted"] = former.Rate(), now.Sub(former.Since()).Round(time.Millisecond).String()
-	}
-	e.Log.WithFields(fields).Info(change.String())
-}
-
 // maxConnections returns this host's share of the connections to a target.
 func (e *Engine) maxConnections(t *catalog.Target) int {
 	config := e.View().Config()
@@ -206,6 +197,7 @@
 	e.Balancer.Retain(view.Has)
 	e.ColdLimiter.Retain(view.Has)
 	e.limits.Retain(view.Has)
+	e.quotas.Retain(view.Has)
 }
 
 // setLimits sets the limits on retries and on cold targets.
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/membership"
+	"github.com/magnoliashore/magnoliashore/quota"
 	"github.com/magnoliashore/magnoliashore/registry"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
@@ -30,6 +31,7 @@
 func (noHosts) Capacity() int                                        { return 100 }
 func (noHosts) HostCount() int                                       { return 1 }
 func (noHosts) Rank(magnoliashore.TargetID) int                      { return 0 }
+func (noHosts) Sharing() quota.Sharing                               { return quota.Sharing{Hosts: 1, Running: 1} }
 
 func testEngine(view *catalog.View, limit retry.Limit) *Engine {
 	return &Engine{
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -20,10 +20,12 @@
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/membership"
+	"github.com/magnoliashore/magnoliashore/notice"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/registry"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/ring"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -84,6 +86,7 @@
 	members   *membership.Node
 	hosts     *hosts
 	engine    *Engine
+	notices   *notices
 	callers   *callerServer
 	stopBegan atomic.Int64 // start of the shutdown in nanoseconds since started; zero before it
 	started   time.Time
@@ -105,6 +108,7 @@
 	group.Go(func() error { h.watchSettings(work); return nil })
 	group.Go(func() error { return h.reader.Run(work) })
 	group.Go(func() error { return h.members.Run(work) })
+	group.Go(func() error { h.notices.run(work); return nil })
 	group.Go(func() error { return h.callers.run(listeners[0]) })
 	for i, handler := range h.handlers() {
 		group.Go(func() error { return serve(work, listeners[i+1], handler) })
@@ -146,6 +150,7 @@
 			Random: newRandom(),
 		},
 		Address: h.PeerListen, Timer: h.Timer, Log: h.Log, OnChange: h.membersChanged,
+		OnNotice: func(data []byte) { h.notices.receive(data) },
 	}
 	h.joined = make(chan struct{})
 	gracePeriod := min(time.Duration(gracePeriodShare*float64(s.Drain)), maxGracePeriod)
@@ -165,6 +170,11 @@
 		Balancer:    &balance.Balancer{Zone: s.Zone, Random: newRandom()},
 		Budget:      &retry.Budget{Limit: s.Retries},
 		ColdLimiter: &admit.ColdLimiter{Limit: s.Cold},
+		reportDue:   make(chan struct{}, 1),
+	}
+	h.notices = &notices{
+		self: s.Peer, engine: h.engine, issuer: h.hosts.Issuer, notify: h.members.Notify, timer: h.Timer, log: h.Log,
+		inbox: ring.New[notice.Message](noticeInboxSize),
 	}
 	h.callers = &callerServer{handler: &Handler{
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Splitter: &balance.Splitter{}, Log: h.Log,
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/membership"
+	"github.com/magnoliashore/magnoliashore/quota"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -200,6 +202,28 @@
 	return max(len(h.members), len(h.lastSeen))
 }
 
+// Sharing describes the hosts that share the rates of targets.
+func (h *hosts) Sharing() quota.Sharing {
+	count := h.HostCount()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return quota.Sharing{Hosts: count, Running: len(h.members), Stable: h.timer.Now().Sub(h.lastChanged)}
+}
+
+// Issuer returns the peer address of the host that leases the rate of a target: the
+// first one in the order of hosts for the target that is not leaving.
+func (h *hosts) Issuer(id magnoliashore.TargetID) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	issuer, lowest := h.self.Peer(), uint64(math.MaxUint64)
+	for _, m := range h.members {
+		if position := xxhash.Sum64String(string(id) + m.Peer()); m.Serves() && position < lowest {
+			issuer, lowest = m.Peer(), position
+		}
+	}
+	return issuer
+}
+
 // discovering reports whether this host has started so recently that members may
 // be missing. The caller holds mu.
 func (h *hosts) discovering(now time.Time) bool {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,7 +26,9 @@
 	batches        *metrics.Counter
 	logDropped     *metrics.Counter
 
-	limitChanges *metrics.Counter // limits that targets began, changed or ended
+	limitChanges   *metrics.Counter // limits that targets began, changed or ended
+	overLimit      *metrics.Counter // attempts that were not sent to a target that is at its limit
+	noticesDropped *metrics.Counter // notices of other hosts that found a full queue
 
 	observations        *metrics.Counter // received from other hosts
 	observationsDropped *metrics.Counter
@@ -55,7 +57,9 @@
 		batches:        s.NewCounter("magnoliashore_gateway_batches_total"),
 		logDropped:     s.NewCounter("magnoliashore_gateway_log_lines_dropped_total"),
 
-		limitChanges: s.NewCounter("magnoliashore_gateway_limit_changes_total"),
+		limitChanges:   s.NewCounter("magnoliashore_gateway_limit_changes_total"),
+		overLimit:      s.NewCounter("magnoliashore_gateway_over_limit_total"),
+		noticesDropped: s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
 
 		observations:        s.NewCounter("magnoliashore_gateway_observations_total"),
 		observationsDropped: s.NewCounter("magnoliashore_gateway_observations_dropped_total"),
--- a/membership/node.go
+++ b/membership/node.go
@@ -32,6 +32,9 @@
 	// OnChange is called from the goroutine of Run after a member changed; may be
 	// nil.
 	OnChange func(members []Member)
+	// OnNotice receives the notices of other hosts, on the goroutine that reads the
+	// socket. It must not block or keep data; may be nil.
+	OnNotice func(data []byte)
 
 	members atomic.Pointer[[]Member]
 	leave   chan struct{}
@@ -132,6 +135,12 @@
 			n.Log.WithError(err).Debug("failed to read from the membership socket")
 			continue
 		}
+		if size > 0 && buffer[0] == noticeMark {
+			if n.OnNotice != nil {
+				n.OnNotice(buffer[1:size])
+			}
+			continue
+		}
 		m, err := Decode(buffer[:size])
 		if err != nil {
 			n.Log.WithError(err).Warn("ignoring a malformed membership datagram")
@@ -141,6 +150,23 @@
 	}
 }
 
+// noticeMark begins a datagram that carries a notice. No membership message begins
+// with it: each is a CBOR array.
+const noticeMark = 0
+
+// Notify sends a notice to a host. It may be lost like any datagram.
+func (n *Node) Notify(peer string, data []byte) error {
+	if len(data) >= maxDatagram {
+		return errors.Newf("a notice of %d bytes does not fit a datagram of %d", len(data), maxDatagram)
+	}
+	to, err := netip.ParseAddrPort(peer)
+	if err != nil {
+		return errors.Wrapf(err, "parsing the address %q", peer)
+	}
+	_, err = n.socket.WriteToUDPAddrPort(append([]byte{noticeMark}, data...), to)
+	return errors.Wrapf(err, "sending a notice to %s", peer)
+}
+
 func (n *Node) send(packets []Packet) {
 	for _, p := range packets {
 		to, err := netip.ParseAddrPort(p.To)
--- /dev/null
+++ b/notice/notice_test.go
@@ -0,0 +1,66 @@
+package notice_test
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore/notice"
+	"github.com/magnoliashore/magnoliashore/quota"
+)
+
+func TestMessageSurvivesEncoding(t *testing.T) {
+	t.Parallel()
+	want := notice.Message{
+		From:    "10.0.0.1:7004",
+		Reports: []quota.Report{{Target: "t1", Rate: 14.8, Demand: 3.5, Share: 2, Left: 1500 * time.Millisecond}},
+		Grants:  []quota.Grant{{Target: "t2", Share: 0.25, Term: 2 * time.Second}},
+	}
+	data, err := notice.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := notice.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestInvalidMessages(t *testing.T) {
+	t.Parallel()
+	for name, m := range map[string]notice.Message{
+		"negative demand":  {Reports: []quota.Report{{Target: "t", Demand: -1}}},
+		"infinite rate":    {Reports: []quota.Report{{Target: "t", Rate: math.Inf(1)}}},
+		"share not a rate": {Grants: []quota.Grant{{Target: "t", Share: math.NaN()}}},
+		"too many":         {Grants: make([]quota.Grant, 100)},
+	} {
+		data, err := notice.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := notice.Decode(data); err == nil {
+			t.Errorf("%s: got no error, want one", name)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := notice.Encode(notice.Message{From: "10.0.0.1:7004", Grants: []quota.Grant{{Target: "t", Share: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := notice.Decode(data)
+		if err != nil {
+			return
+		}
+		if _, err := notice.Encode(m); err != nil {
+			t.Errorf("got error %v for a decoded message, want none", err)
+		}
+	})
+}
