--- a/soak/callers.go
+++ b/soak/callers.go
@@ -16,16 +16,16 @@
 	requestTimeout = 2500 * time.Millisecond
 )
 
-// runCallers sends requests to all hosts until ctx ends. Each connection is
-// reused until its host is gone.
-func (r *Soak) runCallers(ctx context.Context) {
+// runCallers sends requests to hosts until ctx ends. Each connection is reused
+// until its host is gone.
+func (r *Soak) runCallers(ctx context.Context, hosts []*standin.Process) {
 	var wg sync.WaitGroup
 	for i := range numCallers {
 		wg.Go(func() {
 			paths := []string{standin.PathShards, standin.PathOne, standin.PathOnce}
 			for n := i; ctx.Err() == nil; n++ {
-				p := r.site.Processes[n%len(r.site.Processes)]
-				r.sendRequest(ctx, &p.Host, paths[(n/len(r.site.Processes))%len(paths)])
+				p := hosts[n%len(hosts)]
+				r.sendRequest(ctx, &p.Host, paths[(n/len(hosts))%len(paths)])
 				clock.Sleep(thinkTime)
 			}
 		})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.FaultDuration)
 	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { s.runCallers(ctx) })
+	wg.Go(func() { s.runCallers(ctx, s.site.Processes) })
 	for ctx.Err() == nil {
 		wait := clock.After(time.Duration(s.random.Int64N(int64(maxFaultInterval))))
 		select {
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -116,7 +116,7 @@
 func (s restoreStep) Run(ctx context.Context) error {
 	callerCtx, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	callers.Go(func() { s.runCallers(callerCtx) })
+	callers.Go(func() { s.runCallers(callerCtx, s.site.Processes) })
 	defer callers.Wait()
 	defer stop()
 	for range restoreRounds {
