fix(gateway): queries over shards are refused before they use up limits

Each shard was cut to its limit on its own, so most queries used the limits of some shards and lacked others.

A shard whose targets are all limited is now queried directly, not in a batch: its share lies with the coordinator, which knows before the first attempt whether the limits leave enough shards. If not, it answers 503, which is true, with the time until enough shards are below their limits.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -36,7 +36,7 @@
 		return writeResult(w, run.lastAnswer)
 	case !run.progress.MayHaveRun():
 		m.refused.Inc()
-		return writeFailure(w, http.StatusServiceUnavailable, h.limitRetryAfter(run.query, h.limitDelay(run.query)))
+		return writeFailure(w, http.StatusServiceUnavailable, h.limitRetryAfter(run.query, h.Engine.limitDelay(run.query)))
 	case decision == scatter.Expired:
 		m.expired.Inc()
 		return writeFailure(w, http.StatusGatewayTimeout, 0)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -44,7 +44,9 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// replicas returns the zone and cost of each target of each shard.
+// replicas returns the zone and cost of each target of each shard. Targets of a
+// shard that are all limited count as local, so that this host queries it directly:
+// it then knows before the first attempt whether the limits leave enough shards.
 func (r *queryRun) replicas() [][]scatter.Replica {
 	e := r.engine
 	view := e.View()
@@ -53,10 +55,14 @@
 	now := e.Timer.Now()
 	replicas := make([][]scatter.Replica, len(r.query.services))
 	for i, service := range r.query.services {
-		for _, t := range view.Targets(service) {
-			replicas[i] = append(replicas[i], scatter.Replica{
-				Zone: t.Zone(), Cost: e.Balancer.Cost(now, t, r.query.kind),
-			})
+		targets := view.Targets(service)
+		limited := e.allLimited(targets)
+		for _, t := range targets {
+			zone := t.Zone()
+			if limited {
+				zone = e.Zone
+			}
+			replicas[i] = append(replicas[i], scatter.Replica{Zone: zone, Cost: e.Balancer.Cost(now, t, r.query.kind)})
 		}
 	}
 	return replicas
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -80,8 +80,8 @@
 		h.refuse(w, r, max(retryAfterShort, min(retryAfterLong, maxRetryAfter)), "too few shards have a target")
 		return
 	}
-	if delay := h.limitDelay(q); delay > 0 {
-		h.refuse(w, r, h.limitRetryAfter(q, delay), "all targets are at the limits that they name")
+	if delay := h.Engine.limitDelay(q); delay > 0 {
+		h.refuse(w, r, h.limitRetryAfter(q, delay), "too few services have a target below the limit that it names")
 		return
 	}
 	admitted, retryAfter, ok := h.admit(r.Context(), q, route)
@@ -132,16 +132,6 @@
 	return h.gates.admit(ctx, key, size, route.Priority(), wait, maxRetryAfter)
 }
 
-// limitDelay returns when a query to one service may be below the limits of its
-// targets, or zero if it may be sent now. A query over shards is never refused for
-// one shard; other hosts may have a share of its limit left.
-func (h *Handler) limitDelay(q *query) time.Duration {
-	if q.scatter {
-		return 0
-	}
-	return h.Engine.limitDelay(q.services[0])
-}
-
 // limitRetryAfter returns the retry-after for a query that is over a limit.
 func (h *Handler) limitRetryAfter(q *query, delay time.Duration) time.Duration {
 	maxRetryAfter := time.Duration(maxRetryAfterShare * float64(q.params.Timeout))
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -42,30 +42,53 @@
 	}
 }
 
-// limitDelay returns when a target of a service may again be below its limit, or
-// zero if one is now or the service has none. If all targets are at their limits,
-// the request counts as demand for the one that is below it first.
-func (e *Engine) limitDelay(service magnoliashore.ServiceName) time.Duration {
-	targets := e.View().Targets(service)
+// limitDelay returns when a query may again be below the limits of its targets, or
+// zero if it is now: when targets of enough services are. Services whose targets
+// are all at their limits count as demand for the one that is below it first.
+func (e *Engine) limitDelay(q *query) time.Duration {
+	view := e.View()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now, sharing := e.Timer.Now(), e.Hosts.Sharing()
-	var shortest time.Duration
-	var first magnoliashore.TargetID
+	var delays []time.Duration
+	for _, service := range q.services {
+		if delay, first := e.serviceDelay(now, view.Targets(service), sharing); delay > 0 {
+			delays = append(delays, delay)
+			e.want(now, first)
+		}
+	}
+	missing := q.params.MinShards - (len(q.services) - len(delays))
+	if missing <= 0 {
+		return 0
+	}
+	e.Metrics.overLimit.Add(len(delays))
+	slices.Sort(delays)
+	return delays[missing-1]
+}
+
+// serviceDelay returns which of a service's targets is below its limit first, and
+// when; zero if one is now or there is none. The caller holds mu.
+func (e *Engine) serviceDelay(now time.Time, targets []*catalog.Target, sharing quota.Sharing) (time.Duration, magnoliashore.TargetID) {
+	var (
+		shortest time.Duration
+		first    magnoliashore.TargetID
+	)
 	for _, t := range targets {
 		delay := e.quotas.Delay(now, t.ID(), sharing)
 		if delay == 0 {
-			return 0
+			return 0, ""
 		}
 		if first == "" || delay < shortest {
 			shortest, first = delay, t.ID()
 		}
 	}
-	if first != "" {
-		e.want(now, first)
-		e.Metrics.overLimit.Inc()
-	}
-	return shortest
+	return shortest, first
+}
+
+// allLimited reports whether all targets of a service name limits. The caller holds
+// mu.
+func (e *Engine) allLimited(targets []*catalog.Target) bool {
+	return !slices.ContainsFunc(targets, func(t *catalog.Target) bool { return !e.quotas.Limited(t.ID()) })
 }
 
 // observeLimit records the limit that a target names in an answer, or that it
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// Delay returns the time after which a further caller may find a target below its
-// limit, given the demand, or zero if it is below it now.
+// Delay returns the time in which as many requests fit the share of a target's limit
+// as were wanted in the last demandPeriod, or zero if one fits now.
 func (h *Holder) Delay(now time.Time, id magnoliashore.TargetID, sharing Sharing) time.Duration {
 	t, ok := h.targets[id]
 	if !ok {
@@ -94,8 +94,8 @@
 	if share <= 0 {
 		return math.MaxInt64
 	}
-	excess := max(t.demandAt(now)/share, 1)
-	return time.Duration(min(missing*excess/share, math.MaxInt32) * float64(time.Second))
+	waiting := missing + max(t.demandAt(now)-share, 0)*demandPeriod.Seconds()
+	return time.Duration(min(waiting/share, math.MaxInt32) * float64(time.Second))
 }
 
 // Reports returns the reports that are due, the highest demand first.
@@ -130,6 +130,12 @@
 	t.share, t.until = min(g.Share, t.rate), now.Add(g.Term)
 }
 
+// Limited reports whether the requests to a target are limited.
+func (h *Holder) Limited(id magnoliashore.TargetID) bool {
+	_, ok := h.targets[id]
+	return ok
+}
+
 // Share returns the requests per second that this host may send to a target, or
 // false if the target is not limited.
 func (h *Holder) Share(now time.Time, id magnoliashore.TargetID, sharing Sharing) (float64, bool) {
