feat(gateway): logs tell which targets ended, and under which requests

The log showed broken connections, but not whether the target had ended or only the connection, nor that requests under different IDs were the same. The line names the digests of the requests that it ran, made of method, host, path and query, credentials and body; of a streamed body, the buffered part and the length. Digests are made only then. Nothing acts on them yet.

--- a/dialect.go
+++ b/dialect.go
@@ -9,6 +9,9 @@
 type CallerParams struct {
 	ID      string        // ID of the caller's request; targets return it
 	Timeout time.Duration // the caller's timeout; zero if absent
+	// Identity holds the caller's credentials; empty if it sends none. Requests of
+	// different callers are different requests.
+	Identity string
 }
 
 // TargetParams holds the parameters sent to a target with a request.
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -66,6 +66,7 @@
 	limits      admit.NamedLimits
 	quotas      quota.Holder
 
+	endings      endings
 	observations observationLimit
 	adoptions    adoptions
 
@@ -153,6 +154,9 @@
 		e.Metrics.newConnections.Inc()
 	}
 	e.recordOutcome(ctx, a, result)
+	if result.Broken() && ctx.Err() == nil {
+		e.connectionBroke(q, a.target)
+	}
 	return result
 }
 
@@ -192,6 +196,7 @@
 // Retain drops the state of targets that are not in the view.
 func (e *Engine) Retain(view *catalog.View) {
 	e.Pool.Retain(view.Has)
+	e.endings.retain(view.Has)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.Balancer.Retain(view.Has)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
 )
 
 const (
@@ -117,6 +118,9 @@
 		return
 	}
 	if err := tail.Copy(r.Context(), w); err != nil {
+		if r.Context().Err() == nil && origin.ConnectionEnded(err) {
+			h.Engine.connectionBroke(q, run.answer.Target)
+		}
 		h.logWith(r, "error", err.Error()).Info("a long answer broke off; closing the caller's connection")
 		panic(http.ErrAbortHandler) // aborts the response, so that the caller sees that it is incomplete
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,6 +28,7 @@
 
 	limitChanges   *metrics.Counter // limits that targets began, changed or ended
 	overLimit      *metrics.Counter // attempts that were not sent to a target that is at its limit
+	targetsEnded   *metrics.Counter // targets that ended while they ran requests of this host
 	noticesDropped *metrics.Counter // notices of other hosts that found a full queue
 
 	observations        *metrics.Counter // received from other hosts
@@ -59,6 +60,7 @@
 
 		limitChanges:   s.NewCounter("magnoliashore_gateway_limit_changes_total"),
 		overLimit:      s.NewCounter("magnoliashore_gateway_over_limit_total"),
+		targetsEnded:   s.NewCounter("magnoliashore_gateway_targets_ended_total"),
 		noticesDropped: s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
 
 		observations:        s.NewCounter("magnoliashore_gateway_observations_total"),
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/scatter"
+	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
 // Shares of a route's objective.
@@ -31,6 +33,25 @@
 	topK       int  // most records in the answer of a scatter-gather query
 	scatter    bool // the answer is merged from partial results
 	useHelpers bool // other hosts may query shards in batches
+
+	digestOnce sync.Once
+	digestSum  suspect.Digest
+}
+
+// digest returns the digest of the request. Few requests need one, so it is made at
+// the first call.
+func (q *query) digest(dialect magnoliashore.Dialect) suspect.Digest {
+	q.digestOnce.Do(func() {
+		r := suspect.Request{
+			Method: q.request.Method, Host: q.request.Host, URI: q.request.URI, Body: q.request.Body,
+			Identity: dialect.Caller(q.request.Header).Identity,
+		}
+		if q.request.Stream != nil {
+			r.Rest = q.request.Stream.Length()
+		}
+		q.digestSum = suspect.Sum(r)
+	})
+	return q.digestSum
 }
 
 // scatterParams returns the parameters of a query on a route for a caller that
--- /dev/null
+++ b/origin/ended.go
@@ -0,0 +1,53 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/magnoliashore/magnoliashore/catalog"
+)
+
+// settleAfterEnd is how long a process that ends may still accept connections after
+// it has closed others.
+const settleAfterEnd = 50 * time.Millisecond
+
+// HasEnded connects to a target whose connections broke, and reports whether its
+// process has ended: it refuses connections. A target that cannot be reached is not
+// known to have ended. A connection that opens is kept for reuse if fewer than
+// maxConnections are open.
+func (p *Pool) HasEnded(ctx context.Context, t *catalog.Target, maxConnections int) bool {
+	l := p.connsTo(t)
+	for range 2 {
+		raw, err := l.dialer.DialContext(ctx, "tcp4", l.address)
+		if err != nil {
+			return errors.Is(err, unix.ECONNREFUSED)
+		}
+		c := newConn(raw)
+		p.Timer.Sleep(settleAfterEnd)
+		if !c.readable() {
+			l.adopt(c, p.Timer.Now(), maxConnections)
+			return false
+		}
+		_ = c.Close()
+	}
+	return false
+}
+
+// adopt takes over a connection that was opened beside the others.
+func (l *connList) adopt(c *conn, now time.Time, maxOpen int) {
+	l.mu.Lock()
+	room := l.numOpen < maxOpen && !l.retired
+	if room {
+		l.numOpen++
+	}
+	l.mu.Unlock()
+	if !room {
+		_ = c.Close()
+		return
+	}
+	c.idleSince = now
+	l.put(c)
+}
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -30,7 +30,7 @@
 	l := p.connsTo(attempt.Target)
 	c, err := l.acquire(ctx, start, req.Priority, attempt.MaxConnections, attempt.MaxWaiting)
 	if err != nil {
-		return Result{Err: err, Took: p.Timer.Now().Sub(start)}
+		return Result{Target: attempt.Target, Err: err, Took: p.Timer.Now().Sub(start)}
 	}
 	connected := p.Timer.Now()
 	attempt.Timeout -= connected.Sub(start)
@@ -40,7 +40,7 @@
 	if ctx.Err() != nil && result.Status == 0 {
 		result.Err = errors.CombineErrors(errCanceled, context.Cause(ctx))
 	}
-	result.Took = p.Timer.Now().Sub(connected)
+	result.Target, result.Took = attempt.Target, p.Timer.Now().Sub(connected)
 	switch {
 	case interrupted || result.Status == 0:
 		_ = c.Close()
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -3,10 +3,14 @@
 package origin
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/tcp"
@@ -42,6 +46,7 @@
 
 // Result is the outcome of an attempt.
 type Result struct {
+	Target        *catalog.Target
 	Status        int // HTTP status; zero without an answer
 	Header        http.Header
 	Body          []byte
@@ -53,6 +58,15 @@
 	Err           error         // reason for a missing or incomplete answer
 }
 
+// Broken reports whether the connection ended after the request was sent and before
+// a complete answer, so that the target may have ended while it ran the request.
+func (r Result) Broken() bool { return r.Sent && r.Status == 0 && ConnectionEnded(r.Err) }
+
+// ConnectionEnded reports whether err says that the other side ended a connection.
+func ConnectionEnded(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, unix.ECONNRESET, unix.EPIPE)
+}
+
 // NotRun reports whether it is certain that the request has not run and never
 // will.
 func (r Result) NotRun() bool { return !r.Sent || (r.Status != 0 && r.Reply.NotRun) }
--- a/origin/stream.go
+++ b/origin/stream.go
@@ -30,6 +30,9 @@
 	return &Stream{source: source, length: length, sendDone: make(chan struct{})}
 }
 
+// Length returns the number of bytes; negative if it is unknown.
+func (s *Stream) Length() int64 { return s.length }
+
 // Started reports whether an attempt has started to send the stream.
 func (s *Stream) Started() bool { return s.started.Load() }
 
