fix(gateway): a request that ends targets is refused by all hosts

Hosts now keep, by digest, which targets ended while they ran a request, and tell each other at once by datagrams; a starting host asks. Three ends with no completed answer in between, whichever host saw them, and all hosts refuse the request with 503, which is true, and a Retry-After for the next trial. After the first end the request is not hedged, and after a second one not retried.

A broken connection is no proof: the target must refuse connections. Requests that a target takes along are suspected too, but any target that completes one clears it everywhere, and their retry is not withheld: only an end under an earlier request withholds it.

--- a/admit/bucket.go
+++ b/admit/bucket.go
@@ -21,4 +21,7 @@
 }
 
 // Take spends one token.
-func (b *Bucket) Take() { b.tokens-- }
+func (b *Bucket) Take() { b.Spend(1) }
+
+// Spend spends tokens. There may be fewer: the missing ones are refilled first.
+func (b *Bucket) Spend(tokens float64) { b.tokens -= tokens }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
+	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
 // batch is a set of shards that another host queries.
@@ -70,6 +71,11 @@
 
 // tryShard starts an attempt at a shard. It returns false if none is possible.
 func (r *queryRun) tryShard(i int, kind attemptKind) bool {
+	if !r.query.trial && r.engine.endsUnder(r.query, nil) >= suspect.ConvictingEnds {
+		r.failures[i] = string(r.query.services[i]) + ": targets have ended under this request"
+		r.progress.GiveUp(i)
+		return false
+	}
 	a, ok := r.engine.pick(r.query, r.query.services[i], r.tried[i], kind)
 	if !ok {
 		r.progress.GiveUp(i)
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -67,6 +67,7 @@
 	quotas      quota.Holder
 
 	endings      endings
+	suspects     suspects
 	observations observationLimit
 	adoptions    adoptions
 
@@ -154,9 +155,15 @@
 		e.Metrics.newConnections.Inc()
 	}
 	e.recordOutcome(ctx, a, result)
+	if result.Sent {
+		q.sent.Store(true)
+	}
 	if result.Broken() && ctx.Err() == nil {
 		e.connectionBroke(q, a.target)
 	}
+	if result.Status != 0 && !result.Reply.NotRun && result.Tail == nil {
+		e.requestCompleted(q)
+	}
 	return result
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
 const (
@@ -81,6 +83,23 @@
 		h.refuse(w, r, max(retryAfterShort, min(retryAfterLong, maxRetryAfter)), "too few shards have a target")
 		return
 	}
+	ruling := h.Engine.rule(q)
+	switch ruling.Verdict {
+	case suspect.Refused:
+		h.refuse(w, r, ruling.After, fmt.Sprintf("%d targets have ended under this request, digest %s", ruling.Ends, q.digest(h.Dialect)))
+		return
+	case suspect.Suspect:
+		q.params.HedgeAfter = 0
+		q.trial = ruling.Trial
+	case suspect.Innocent:
+	}
+	if q.trial {
+		defer func() {
+			if !q.sent.Load() {
+				h.Engine.endTrial(q)
+			}
+		}()
+	}
 	if delay := h.Engine.limitDelay(q); delay > 0 {
 		h.refuse(w, r, h.limitRetryAfter(q, delay), "too few services have a target below the limit that it names")
 		return
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -174,8 +174,9 @@
 	}
 	h.notices = &notices{
 		self: s.Peer, engine: h.engine, issuer: h.hosts.Issuer, notify: h.members.Notify, timer: h.Timer, log: h.Log,
-		inbox: ring.New[notice.Message](noticeInboxSize),
+		peers: h.hosts.Peers, inbox: ring.New[notice.Message](noticeInboxSize),
 	}
+	h.engine.suspects.due = make(chan struct{}, 1)
 	h.callers = &callerServer{handler: &Handler{
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Splitter: &balance.Splitter{}, Log: h.Log,
 		DataAge:  h.reader.Age,
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -210,6 +210,19 @@
 	return quota.Sharing{Hosts: count, Running: len(h.members), Stable: h.timer.Now().Sub(h.lastChanged)}
 }
 
+// Peers returns the peer addresses of the other running hosts.
+func (h *hosts) Peers() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	peers := make([]string, 0, len(h.members))
+	for _, m := range h.members {
+		if m.Peer() != h.self.Peer() {
+			peers = append(peers, m.Peer())
+		}
+	}
+	return peers
+}
+
 // Issuer returns the peer address of the host that leases the rate of a target: the
 // first one in the order of hosts for the target that is not leaving.
 func (h *hosts) Issuer(id magnoliashore.TargetID) string {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,10 +26,13 @@
 	batches        *metrics.Counter
 	logDropped     *metrics.Counter
 
-	limitChanges   *metrics.Counter // limits that targets began, changed or ended
-	overLimit      *metrics.Counter // attempts that were not sent to a target that is at its limit
-	targetsEnded   *metrics.Counter // targets that ended while they ran requests of this host
-	noticesDropped *metrics.Counter // notices of other hosts that found a full queue
+	limitChanges *metrics.Counter // limits that targets began, changed or ended
+	overLimit    *metrics.Counter // attempts that were not sent to a target that is at its limit
+	targetsEnded *metrics.Counter // targets that ended while they ran requests of this host
+	// Requests that were refused since they end targets, and those that were cleared.
+	suspectsRefused *metrics.Counter
+	suspectsCleared *metrics.Counter
+	noticesDropped  *metrics.Counter // notices of other hosts that found a full queue
 
 	observations        *metrics.Counter // received from other hosts
 	observationsDropped *metrics.Counter
@@ -58,10 +61,12 @@
 		batches:        s.NewCounter("magnoliashore_gateway_batches_total"),
 		logDropped:     s.NewCounter("magnoliashore_gateway_log_lines_dropped_total"),
 
-		limitChanges:   s.NewCounter("magnoliashore_gateway_limit_changes_total"),
-		overLimit:      s.NewCounter("magnoliashore_gateway_over_limit_total"),
-		targetsEnded:   s.NewCounter("magnoliashore_gateway_targets_ended_total"),
-		noticesDropped: s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
+		limitChanges:    s.NewCounter("magnoliashore_gateway_limit_changes_total"),
+		overLimit:       s.NewCounter("magnoliashore_gateway_over_limit_total"),
+		targetsEnded:    s.NewCounter("magnoliashore_gateway_targets_ended_total"),
+		suspectsRefused: s.NewCounter("magnoliashore_gateway_suspects_refused_total"),
+		suspectsCleared: s.NewCounter("magnoliashore_gateway_suspects_cleared_total"),
+		noticesDropped:  s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
 
 		observations:        s.NewCounter("magnoliashore_gateway_observations_total"),
 		observationsDropped: s.NewCounter("magnoliashore_gateway_observations_dropped_total"),
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -34,6 +35,8 @@
 	scatter    bool // the answer is merged from partial results
 	useHelpers bool // other hosts may query shards in batches
 
+	sent       atomic.Bool // an attempt was sent to a target
+	trial      bool        // tries a request again that has ended targets
 	digestOnce sync.Once
 	digestSum  suspect.Digest
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -85,7 +85,7 @@
 	for {
 		now := r.engine.Timer.Now()
 		for _, i := range r.progress.DueHedges(now) {
-			if !r.tryShard(i, extraAttempt) {
+			if r.engine.endsUnder(r.query, nil) > 0 || !r.tryShard(i, extraAttempt) {
 				r.progress.PostponeHedge(now, i)
 			}
 		}
@@ -161,12 +161,20 @@
 		kind = extraAttempt
 	}
 	bodyUsed := r.query.request.Stream != nil && r.query.request.Stream.Started()
-	if r.progress.RecordFailure(i, !result.NotRun()) && !bodyUsed && r.tryShard(i, kind) {
+	if r.progress.RecordFailure(i, !result.NotRun()) && !bodyUsed && !r.mayEndTargets(i, result) && r.tryShard(i, kind) {
 		return
 	}
 	r.progress.GiveUp(i)
 }
 
+// mayEndTargets reports whether a request whose connection broke must not be sent to
+// another target, since targets ended under the same request before. An end under
+// this request alone does not count: most requests that a target takes along when it
+// ends are innocent, and are retried.
+func (r *queryRun) mayEndTargets(i int, result origin.Result) bool {
+	return result.Broken() && r.engine.endsUnder(r.query, r.tried[i]) > 0
+}
+
 // recordFailure records why an attempt at a shard failed.
 func (r *queryRun) recordFailure(i int, result origin.Result) {
 	target := string(r.query.services[i])
@@ -267,7 +275,7 @@
 	for i := range b.pending {
 		delete(b.pending, i)
 		r.progress.Undelegate(now, i)
-		if !r.progress.RecordFailure(i, true) || !r.tryShard(i, extraAttempt) {
+		if !r.progress.RecordFailure(i, true) || r.engine.endsUnder(r.query, nil) > 0 || !r.tryShard(i, extraAttempt) {
 			r.progress.GiveUp(i)
 		}
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/quota"
+	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
 // maxItems is the most items of one kind in a message.
@@ -21,6 +22,9 @@
 	From    string         // ip:port of the sender for other hosts
 	Reports []quota.Report // to the issuer of their targets
 	Grants  []quota.Grant  // from the issuer of their targets
+	// Records of suspicious requests. Their times are by the clock of the receiver.
+	Records []suspect.Record
+	Ask     bool // requests the records of the receiver
 }
 
 type wireMessage struct {
@@ -28,6 +32,22 @@
 	From    string
 	Reports []wireReport
 	Grants  []wireGrant
+	Records []wireRecord
+	Ask     bool
+}
+
+// wireRecord holds the times of a record as ages.
+type wireRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Digest  []byte
+	Ends    []wireEnd
+	Cleared int64 // negative if it was not cleared
+}
+
+type wireEnd struct {
+	_      struct{} `cbor:",toarray"`
+	Target string
+	Age    int64
 }
 
 type wireReport struct {
@@ -46,9 +66,9 @@
 	Term   int64
 }
 
-// Encode encodes a message.
-func Encode(m Message) ([]byte, error) {
-	w := wireMessage{From: m.From}
+// Encode encodes a message that is sent at now.
+func Encode(now time.Time, m Message) ([]byte, error) {
+	w := wireMessage{From: m.From, Ask: m.Ask}
 	for _, r := range m.Reports {
 		w.Reports = append(w.Reports, wireReport{
 			Target: string(r.Target), Rate: r.Rate, Demand: float32(r.Demand), Share: float32(r.Share), Left: r.Left.Milliseconds(),
@@ -57,20 +77,56 @@
 	for _, g := range m.Grants {
 		w.Grants = append(w.Grants, wireGrant{Target: string(g.Target), Share: float32(g.Share), Term: g.Term.Milliseconds()})
 	}
+	for _, r := range m.Records {
+		w.Records = append(w.Records, encodeRecord(now, r))
+	}
 	data, err := cbor.Marshal(w)
 	return data, errors.Wrap(err, "encoding a notice")
 }
 
-// Decode decodes a message. It fails if a number in it is out of range.
-func Decode(data []byte) (Message, error) {
+func encodeRecord(now time.Time, r suspect.Record) wireRecord {
+	w := wireRecord{Digest: r.Digest[:], Cleared: -1}
+	if !r.Cleared.IsZero() {
+		w.Cleared = now.Sub(r.Cleared).Milliseconds()
+	}
+	for _, end := range r.Ends {
+		w.Ends = append(w.Ends, wireEnd{Target: string(end.Target), Age: now.Sub(end.At).Milliseconds()})
+	}
+	return w
+}
+
+func decodeRecord(now time.Time, w wireRecord) (suspect.Record, error) {
+	r := suspect.Record{}
+	if len(w.Digest) != len(r.Digest) || len(w.Ends) > maxItems {
+		return r, errors.Newf("record has a digest of %d bytes and %d ends", len(w.Digest), len(w.Ends))
+	}
+	copy(r.Digest[:], w.Digest)
+	if w.Cleared >= 0 {
+		r.Cleared = now.Add(-fromMillis(w.Cleared))
+	}
+	for _, end := range w.Ends {
+		r.Ends = append(r.Ends, suspect.End{Target: magnoliashore.TargetID(end.Target), At: now.Add(-fromMillis(end.Age))})
+	}
+	return r, nil
+}
+
+// Decode decodes a message that is received at now. It fails if a number in it is out of range.
+func Decode(now time.Time, data []byte) (Message, error) {
 	var w wireMessage
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Message{}, errors.Wrap(err, "decoding a notice")
 	}
-	if n := max(len(w.Reports), len(w.Grants)); n > maxItems {
+	if n := max(len(w.Reports), len(w.Grants), len(w.Records)); n > maxItems {
 		return Message{}, errors.Newf("notice has %d items of one kind; at most %d are allowed", n, maxItems)
 	}
-	m := Message{From: w.From}
+	m := Message{From: w.From, Ask: w.Ask}
+	for _, encoded := range w.Records {
+		r, err := decodeRecord(now, encoded)
+		if err != nil {
+			return Message{}, err
+		}
+		m.Records = append(m.Records, r)
+	}
 	for _, r := range w.Reports {
 		if !valid(r.Rate, float64(r.Demand), float64(r.Share)) {
 			return Message{}, errors.Newf("report on target %q has a rate that is out of range", r.Target)
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -8,20 +8,28 @@
 
 	"github.com/magnoliashore/magnoliashore/notice"
 	"github.com/magnoliashore/magnoliashore/quota"
+	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
+var now = time.Unix(1000, 0)
+
 func TestMessageSurvivesEncoding(t *testing.T) {
 	t.Parallel()
 	want := notice.Message{
 		From:    "10.0.0.1:7004",
 		Reports: []quota.Report{{Target: "t1", Rate: 14.8, Demand: 3.5, Share: 2, Left: 1500 * time.Millisecond}},
 		Grants:  []quota.Grant{{Target: "t2", Share: 0.25, Term: 2 * time.Second}},
+		Records: []suspect.Record{
+			{Digest: suspect.Digest{1, 2}, Ends: []suspect.End{{Target: "t3", At: now.Add(-3 * time.Second)}}},
+			{Digest: suspect.Digest{3}, Cleared: now.Add(-time.Second)},
+		},
+		Ask: true,
 	}
-	data, err := notice.Encode(want)
+	data, err := notice.Encode(now, want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := notice.Decode(data)
+	got, err := notice.Decode(now, data)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,29 +45,31 @@
 		"infinite rate":    {Reports: []quota.Report{{Target: "t", Rate: math.Inf(1)}}},
 		"share not a rate": {Grants: []quota.Grant{{Target: "t", Share: math.NaN()}}},
 		"too many":         {Grants: make([]quota.Grant, 100)},
+		"too many records": {Records: make([]suspect.Record, 100)},
+		"too many ends":    {Records: []suspect.Record{{Ends: make([]suspect.End, 100)}}},
 	} {
-		data, err := notice.Encode(m)
+		data, err := notice.Encode(now, m)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := notice.Decode(data); err == nil {
+		if _, err := notice.Decode(now, data); err == nil {
 			t.Errorf("%s: got no error, want one", name)
 		}
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	data, err := notice.Encode(notice.Message{From: "10.0.0.1:7004", Grants: []quota.Grant{{Target: "t", Share: 1}}})
+	data, err := notice.Encode(now, notice.Message{From: "10.0.0.1:7004", Grants: []quota.Grant{{Target: "t", Share: 1}}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m, err := notice.Decode(data)
+		m, err := notice.Decode(now, data)
 		if err != nil {
 			return
 		}
-		if _, err := notice.Encode(m); err != nil {
+		if _, err := notice.Encode(now, m); err != nil {
 			t.Errorf("got error %v for a decoded message, want none", err)
 		}
 	})
