fix(gateway): a suspected query is tried at one shard first

A query over shards that ended its targets reached a target of each shard when its turn came to be tried again: 6 arrivals of 3 allowed later than 4 s after the third end in TestRequestThatEndsTargetsIsSentOnAndOn. Before the verdict it could end a target of each shard each time it came.

A suspected query is now sent to one shard, and to the others only if that target completes it, which clears it. Queries without suspicion take the same path as before. A trial whose connection broke at a target that has not ended no longer blocks the next one for 10 s.

--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -108,6 +108,7 @@
 		e.targetEnded(t, digests)
 		return
 	}
+	e.endTrials(digests)
 	e.Log.WithFields(log.Fields{"target": string(t.ID()), "requests": len(digests)}).Info("connections to a target broke, but it has not ended")
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -84,21 +84,13 @@
 		return
 	}
 	ruling := h.Engine.rule(q)
-	switch ruling.Verdict {
-	case suspect.Refused:
+	if ruling.Verdict == suspect.Refused {
 		h.refuse(w, r, ruling.After, fmt.Sprintf("%d targets have ended under this request, digest %s", ruling.Ends, q.digest(h.Dialect)))
 		return
-	case suspect.Suspect:
-		q.params.HedgeAfter = 0
-		q.trial = ruling.Trial
-	case suspect.Innocent:
 	}
+	q.suspected, q.trial = ruling.Verdict == suspect.Suspect, ruling.Trial
 	if q.trial {
-		defer func() {
-			if !q.sent.Load() {
-				h.Engine.endTrial(q)
-			}
-		}()
+		defer h.Engine.endTrialUnlessSent(q)
 	}
 	if delay := h.Engine.limitDelay(q); delay > 0 {
 		h.refuse(w, r, h.limitRetryAfter(q, delay), "too few services have a target below the limit that it names")
@@ -116,9 +108,8 @@
 		h.refuse(w, r, retryAfter, "targets have too much work: "+admitted.String())
 		return
 	}
-	run, cancel := h.Engine.start(r.Context(), q)
-	defer cancel()
-	decision, ok := run.wait(r.Context())
+	run, decision, ok := h.Engine.run(r.Context(), q)
+	defer run.cancel()
 	admitted.done(ok && run.overloaded(h.Engine.Timer.Now(), route.Objective()))
 	took := h.Engine.Timer.Now().Sub(q.received)
 	if !ok {
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -35,8 +35,10 @@
 	scatter    bool // the answer is merged from partial results
 	useHelpers bool // other hosts may query shards in batches
 
-	sent       atomic.Bool // an attempt was sent to a target
-	trial      bool        // tries a request again that has ended targets
+	suspected bool        // targets have ended under the same request
+	trial     bool        // tries a request again that was refused
+	sent      atomic.Bool // an attempt was sent to a target
+
 	digestOnce sync.Once
 	digestSum  suspect.Digest
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
@@ -36,6 +39,7 @@
 	query         *query
 	progress      *scatter.Progress
 	ctx           context.Context // context of the attempts
+	cancel        context.CancelFunc
 	events        chan event
 	tried         [][]magnoliashore.TargetID // by shard: the targets of its attempts
 	reached       []bool                     // by shard: whether a failed attempt was sent
@@ -75,6 +79,53 @@
 	return r, cancel
 }
 
+// run runs a query until there is a decision. It returns false if ctx ended because
+// the caller left. The caller of run must call cancel of the returned run.
+//
+// A suspected query is not hedged. If it is over shards, one shard is queried first,
+// and the others only if its target completes the query: else the query would end a
+// target of each shard.
+func (e *Engine) run(ctx context.Context, q *query) (*queryRun, scatter.Decision, bool) {
+	if q.suspected {
+		q.params.HedgeAfter = 0
+	}
+	if q.suspected && q.scatter {
+		first := q.firstShard(e.View())
+		r, decision, ok := e.runToDecision(ctx, first)
+		if first.sent.Load() {
+			q.sent.Store(true)
+		}
+		if !ok || decision != scatter.Answer {
+			return r, decision, ok
+		}
+		r.cancel()
+		elapsed := e.Timer.Now().Sub(r.started)
+		q.params.Timeout -= elapsed
+		q.params.PartialAfter = max(q.params.PartialAfter-elapsed, 1)
+	}
+	return e.runToDecision(ctx, q)
+}
+
+func (e *Engine) runToDecision(ctx context.Context, q *query) (*queryRun, scatter.Decision, bool) {
+	r, cancel := e.start(ctx, q)
+	r.cancel = cancel
+	decision, ok := r.wait(ctx)
+	return r, decision, ok
+}
+
+// firstShard returns the query for a random one of the shards that have a target.
+func (q *query) firstShard(view *catalog.View) *query {
+	services := slices.DeleteFunc(slices.Clone(q.services), func(s magnoliashore.ServiceName) bool { return len(view.Targets(s)) == 0 })
+	if len(services) == 0 {
+		services = q.services
+	}
+	return &query{
+		request: q.request, received: q.received, kind: q.kind, services: []magnoliashore.ServiceName{services[rand.IntN(len(services))]},
+		params:   scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1, Timeout: q.params.Timeout},
+		deadline: q.deadline, topK: q.topK, scatter: true, suspected: true, trial: q.trial,
+	}
+}
+
 // eventsPerBatch is the most events of a batch per shard: one with the partial
 // result and one that closes the batch.
 const eventsPerBatch = 2
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -103,11 +103,20 @@
 	return ruling
 }
 
-// endTrial ends a trial that reached no target.
-func (e *Engine) endTrial(q *query) {
+// endTrialUnlessSent ends a trial that reached no target.
+func (e *Engine) endTrialUnlessSent(q *query) {
+	if !q.sent.Load() {
+		e.endTrials([]suspect.Digest{q.digest(e.Pool.Dialect)})
+	}
+}
+
+// endTrials ends the trials of requests at which no target ended.
+func (e *Engine) endTrials(digests []suspect.Digest) {
 	e.suspects.mu.Lock()
 	defer e.suspects.mu.Unlock()
-	e.suspects.table.EndTrial(q.digest(e.Pool.Dialect))
+	for _, d := range digests {
+		e.suspects.table.EndTrial(d)
+	}
 }
 
 // endsUnder returns how many targets have ended under a request, apart from those
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -207,7 +207,8 @@
 	return ruling
 }
 
-// EndTrial records that a trial had no outcome: no target ran the request.
+// EndTrial records that a trial had no outcome: no target ended or completed the
+// request.
 func (t *Table) EndTrial(d Digest) {
 	if e, ok := t.entries[d]; ok {
 		e.trial = time.Time{}
