test(soak): a request that ends its targets, beside innocent ones

Two callers send one and the same request, of a random route, that ends each target which runs it; a host restarts, three targets end by themselves, and four callers ask for one path all the time. The request must reach targets three times at most later than 4 s after the third end, and no other request may be refused in its place: those refusals are told by their Retry-After.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,6 +62,9 @@
 		r.notRun[id] = true
 	}
 	r.mu.Unlock()
+	if err == nil {
+		r.checkRefusal(id, answer)
+	}
 	if err != nil || answer.Status != http.StatusOK {
 		return false
 	}
@@ -71,3 +75,16 @@
 	}
 	return true
 }
+
+// checkRefusal checks that a request which ends no target is not refused as one that
+// does: only the refusal of those asks callers to stay away for longer.
+func (r *Soak) checkRefusal(id string, answer standin.Answer) {
+	after, err := strconv.ParseFloat(answer.RetryAfter, 64)
+	if err == nil && after > longestRetryAfter.Seconds() {
+		r.recordViolation("request %s, which ends no target, is refused for %.1f s", id, after)
+	}
+}
+
+// longestRetryAfter is the longest time after which a request that is refused for
+// other reasons may come again, at the timeout of these callers.
+const longestRetryAfter = time.Second
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -72,7 +72,7 @@
 	r.answerCounts, r.notRun = make(map[int]int), make(map[string]bool)
 	r.restarting = make(map[*standin.Process]bool)
 	r.atMostOnce, r.drainingSince = make(map[string]string), make(map[string]time.Time)
-	steps := []step{startStep{r}, faultStep{r}, recoverStep{r}, restoreStep{r}, limitStep{r}, checkStep{r}, stopStep{r}}
+	steps := []step{startStep{r}, faultStep{r}, recoverStep{r}, restoreStep{r}, limitStep{r}, deadlyStep{r}, checkStep{r}, stopStep{r}}
 	defer r.close()
 	for _, s := range steps {
 		r.Log.WithField("seed", r.Seed).Info(s.String())
