fix(origin): the head of an answer is bounded before it is parsed

Cause: http.ReadResponse reads a head whole, from a reader without a bound. The reader of a target's connection now fails once the heads of one answer, the interim ones included, have more than 64 KiB. The connection is closed, and the failure is the target's: logged, counted, and followed by a retry elsewhere.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -158,6 +158,10 @@
 	if result.Sent {
 		q.sent.Store(true)
 	}
+	if errors.Is(result.Err, origin.ErrTooLong) {
+		e.Metrics.answersTooLong.Inc()
+		e.Log.WithFields(log.Fields{"request": q.request.ID, "target": string(a.target.ID())}).WithError(result.Err).Warn("answer of a target is too long; its connection is closed")
+	}
 	if result.Broken() && ctx.Err() == nil {
 		e.connectionBroke(q, a.target)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,9 +26,10 @@
 	batches        *metrics.Counter
 	logDropped     *metrics.Counter
 
-	limitChanges *metrics.Counter // limits that targets began, changed or ended
-	overLimit    *metrics.Counter // attempts that were not sent to a target that is at its limit
-	targetsEnded *metrics.Counter // targets that ended while they ran requests of this host
+	limitChanges   *metrics.Counter // limits that targets began, changed or ended
+	overLimit      *metrics.Counter // attempts that were not sent to a target that is at its limit
+	answersTooLong *metrics.Counter // answers of targets whose head or body exceeds its bound
+	targetsEnded   *metrics.Counter // targets that ended while they ran requests of this host
 	// Requests that were refused since they end targets, and those that were cleared.
 	suspectsRefused *metrics.Counter
 	suspectsCleared *metrics.Counter
@@ -63,6 +64,7 @@
 
 		limitChanges:    s.NewCounter("magnoliashore_gateway_limit_changes_total"),
 		overLimit:       s.NewCounter("magnoliashore_gateway_over_limit_total"),
+		answersTooLong:  s.NewCounter("magnoliashore_gateway_answers_too_long_total"),
 		targetsEnded:    s.NewCounter("magnoliashore_gateway_targets_ended_total"),
 		suspectsRefused: s.NewCounter("magnoliashore_gateway_suspects_refused_total"),
 		suspectsCleared: s.NewCounter("magnoliashore_gateway_suspects_cleared_total"),
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -19,6 +19,7 @@
 	net.Conn
 
 	reader        *bufio.Reader
+	bound         *tcp.BoundedReader // below reader
 	used          bool          // has carried a request
 	idleSince     time.Time     // start of the current idle period
 	idleTimeout   time.Duration // idle time after which the target closes it; zero if unknown
@@ -28,7 +29,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	bound := tcp.NewBoundedReader(c)
+	return &conn{Conn: c, bound: bound, reader: bufio.NewReaderSize(bound, readBufferSize)}
 }
 
 // stale reports whether an idle connection must not be used: the target has
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -12,15 +12,20 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
 // maxMismatched is the number of answers to earlier requests that are skipped
 // on a connection before it is closed.
 const maxMismatched = 2
 
+// maxHeadBytes bounds the heads of an answer: the final one and all interim ones.
+const maxHeadBytes = 64 << 10
+
 var (
 	errMismatch = errors.New("the target's answer belongs to another request")
-	errTooLarge = errors.New("the target's answer is too large")
+	// ErrTooLong means that the head or the body of an answer is too long.
+	ErrTooLong = errors.New("the target's answer is too long")
 )
 
 // Do makes one attempt to send the request. When ctx ends, it closes the
@@ -226,15 +231,21 @@
 		result.Tail = &Tail{body: resp.Body, conn: c, length: max(resp.ContentLength-int64(len(body)), -1)}
 	default:
 		_ = c.Close() // the rest of the body is not read
-		return Result{Err: errTooLarge}
+		return Result{Err: ErrTooLong}
 	}
 	return result
 }
 
-// readFinal reads the final response and skips interim (1xx) ones.
+// readFinal reads the final response and skips interim (1xx) ones. It fails with
+// ErrTooLong if their heads are too long together.
 func (p *Pool) readFinal(c *conn, req Request) (*http.Response, error) {
+	c.bound.Allow(maxHeadBytes)
+	defer c.bound.AllowAll() // the body has a bound of its own
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		if errors.Is(err, tcp.ErrTooLong) {
+			return nil, errors.Mark(err, ErrTooLong)
+		}
 		if err != nil {
 			return nil, err
 		}
