fix(gateway): a long answer ends with the time of its caller

Cause: the rest of a long answer is streamed with no end but that of the target or of the caller's connection. It now ends with the caller's timeout, towards both sides, or after 10 minutes if the caller sets none. The caller sees an incomplete answer, the connection to the target is closed, and a line says so.

Answers that are held whole, partial results and failures, were bounded at 16 MiB each: 20 shards could take 320 MB of the 284 MB of a host. They are bounded at 1 MiB now, like the first part of other answers; a shard that sends more is missing from the answer (TestShardBodyWithoutEnd).

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/balance"
@@ -127,7 +128,7 @@
 	if tail == nil {
 		return
 	}
-	if err := tail.Copy(r.Context(), w); err != nil {
+	if err := h.streamTail(w, r, q, tail); err != nil {
 		if r.Context().Err() == nil && origin.ConnectionEnded(err) {
 			h.Engine.connectionBroke(q, run.answer.Target)
 		}
@@ -136,6 +137,21 @@
 	}
 }
 
+// streamTail passes the rest of a long answer on, until the caller does not wait for
+// it any more: an answer may have no end, and a caller may not read it.
+func (h *Handler) streamTail(w http.ResponseWriter, r *http.Request, q *query, tail *origin.Tail) error {
+	ctx, cancel := context.WithDeadline(r.Context(), q.streamUntil)
+	defer cancel()
+	controller := http.NewResponseController(w)
+	if err := controller.SetWriteDeadline(q.streamUntil); err != nil {
+		return errors.Wrap(err, "setting the deadline of a long answer")
+	}
+	if err := tail.Copy(ctx, w); err != nil {
+		return err
+	}
+	return errors.Wrap(controller.SetWriteDeadline(time.Time{}), "lifting the deadline of a long answer")
+}
+
 // admit waits until a query may run. If the query is refused, admit returns false
 // and the time after which the caller may retry.
 func (h *Handler) admit(ctx context.Context, q *query, route *catalog.Route) (admission, time.Duration, bool) {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// Largest answer of a target that must be buffered whole.
-	maxAnswerBytes = 16 << 20
+	// Largest answer of a target that must be buffered whole: a partial result or a
+	// failure. Queries over many shards hold one of each shard.
+	maxAnswerBytes = 1 << 20
 	// Part of an answer that is buffered before it is passed on. If the target
 	// fails within it, another target can be tried.
 	maxBufferedBytes = 1 << 20
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -25,15 +25,17 @@
 // query is a request with the services that answer it: a single one, or one for
 // each shard.
 type query struct {
-	request    origin.Request
-	received   time.Time
-	kind       string // groups requests that take about the same time
-	services   []magnoliashore.ServiceName
-	params     scatter.Params
-	deadline   time.Time
-	topK       int  // most records in the answer of a scatter-gather query
-	scatter    bool // the answer is merged from partial results
-	useHelpers bool // other hosts may query shards in batches
+	request  origin.Request
+	received time.Time
+	kind     string // groups requests that take about the same time
+	services []magnoliashore.ServiceName
+	params   scatter.Params
+	deadline time.Time
+	// streamUntil is when a long answer that is passed on as it arrives is cut off.
+	streamUntil time.Time
+	topK        int  // most records in the answer of a scatter-gather query
+	scatter     bool // the answer is merged from partial results
+	useHelpers  bool // other hosts may query shards in batches
 
 	suspected bool        // targets have ended under the same request
 	trial     bool        // tries a request again that was refused
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,6 +13,8 @@
 const (
 	// Timeout if neither the caller nor the route sets one.
 	defaultTimeout = 30 * time.Second
+	// Time for a long answer if the caller sets no timeout.
+	maxStreamTime = 10 * time.Minute
 	// Time before the caller's deadline that is left to send the answer.
 	answerMargin = 20 * time.Millisecond
 )
@@ -20,9 +22,9 @@
 // newQuery returns the query for a request.
 func (h *Handler) newQuery(r *http.Request, route *catalog.Route, received time.Time, body []byte) *query {
 	callerParams := h.Dialect.Caller(r.Header)
-	timeout := callerParams.Timeout
+	timeout, streamTime := callerParams.Timeout, callerParams.Timeout
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		timeout, streamTime = defaultTimeout, maxStreamTime
 	}
 	deadline := received.Add(timeout)
 	if route.Timeout() > 0 {
@@ -33,7 +35,7 @@
 			Method: r.Method, URI: uri(r), Host: r.Host, Header: endToEnd(r.Header), Body: body,
 			ID: callerParams.ID, Priority: route.Priority(), AllowTail: !route.Scatters(),
 		},
-		received: received, kind: route.Name(), deadline: deadline, params: scatterParams(route, max(timeout-answerMargin, timeout/2)),
+		received: received, kind: route.Name(), deadline: deadline, streamUntil: received.Add(streamTime), params: scatterParams(route, max(timeout-answerMargin, timeout/2)),
 		topK: route.TopK(), scatter: route.Scatters(), useHelpers: route.Scatters(),
 	}
 	q.services = route.Shards()
