--- a/origin/conn.go
+++ b/origin/conn.go
@@ -20,12 +20,12 @@
 
 	reader        *bufio.Reader
 	bound         *tcp.BoundedReader // below reader
-	used          bool          // has carried a request
-	idleSince     time.Time     // start of the current idle period
-	idleTimeout   time.Duration // idle time after which the target closes it; zero if unknown
-	lastSignature string        // signature of the previous answer
-	noReuse       bool          // must not carry another request
-	writeDone     <-chan error  // receives the result of writing a long body; nil if no write is in progress
+	used          bool               // has carried a request
+	idleSince     time.Time          // start of the current idle period
+	idleTimeout   time.Duration      // idle time after which the target closes it; zero if unknown
+	lastSignature string             // signature of the previous answer
+	noReuse       bool               // must not carry another request
+	writeDone     <-chan error       // receives the result of writing a long body; nil if no write is in progress
 }
 
 func newConn(c net.Conn) *conn {
--- a/registry/fetch.go
+++ b/registry/fetch.go
@@ -11,7 +11,12 @@
 	"github.com/magnoliashore/magnoliashore"
 )
 
-const maxResponseSize = 16 << 20 // bytes
+const (
+	maxResponseSize = 16 << 20 // bytes
+	// MaxHeadSize bounds the head of an answer of the store or of another host, in
+	// bytes.
+	MaxHeadSize = 64 << 10
+)
 
 // Fetch sends a GET request to a source of entries at an ip:port and returns the
 // body and the header of the response. It returns ErrCompacted if the source no
@@ -30,7 +35,10 @@
 		return nil, nil, magnoliashore.Step(err, "request entries", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize+1))
+	if err == nil && len(body) > maxResponseSize {
+		err = errors.Newf("the answer has more than %d bytes", maxResponseSize)
+	}
 	if err != nil {
 		return nil, nil, magnoliashore.Step(err, "read entries", address)
 	}
--- a/registry/peer.go
+++ b/registry/peer.go
@@ -62,7 +62,9 @@
 // NewPeerClient returns a client for calls to other hosts.
 func NewPeerClient() *http.Client {
 	dialer := tcp.Dialer(peerTimeout, longPollTime+peerTimeout)
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadSize,
+	}}
 }
 
 // List returns all items that the host has.
--- a/relay/link.go
+++ b/relay/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -27,6 +29,8 @@
 	writeTimeout = time.Second
 	// Least time between two attempts to connect.
 	redialInterval = 200 * time.Millisecond
+	// Bytes that the other host may send until the WebSocket is open.
+	maxHandshakeSize = 64 << 10
 	// Results of one batch that are queued for the reader.
 	maxQueuedResults = 16
 	// Time past the due time of a batch after which the connection is closed
@@ -146,8 +150,17 @@
 
 // dial opens the connection and reads from it until it ends.
 func (l *Link) dial() {
+	bound := tcp.NewBoundedReader(nil)
 	dialer := websocket.Dialer{
-		NetDialContext:   tcp.Dialer(dialTimeout, userTimeout).DialContext,
+		NetDialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := tcp.Dialer(dialTimeout, userTimeout).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			bound = tcp.NewBoundedReader(c)
+			bound.Allow(maxHandshakeSize)
+			return boundedConn{Conn: c, reader: bound}, nil
+		},
 		HandshakeTimeout: dialTimeout,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*dialTimeout)
@@ -163,6 +176,7 @@
 		l.Log.WithError(err).WithField("peer", l.Peer).Info("cannot reach the host")
 		return
 	}
+	bound.AllowAll() // frames have a bound of their own
 	socket.SetReadLimit(maxFrameSize)
 	l.socket = socket
 	l.calls = make(map[uint64]*Call)
@@ -171,6 +185,16 @@
 	l.read(socket)
 }
 
+// boundedConn is a connection whose reads have a bound.
+type boundedConn struct {
+	net.Conn
+
+	reader io.Reader
+}
+
+// Read reads within the bound.
+func (c boundedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
 // Connect starts to open the connection, ahead of the first batch.
 func (l *Link) Connect() { _, _ = l.connect() }
 
