fix(suspect): hosts wait for the outcome of a trial elsewhere

A refused request was tried again by the host whose turn came, and the next host followed 0.5 s later unless it had heard of the outcome. A target that ends more than 0.5 s after it began, or two hosts that disagree on the order, made two trials at a time, of the three arrivals that are allowed in all.

A record now holds when the latest trial began, and hosts are told at once; they wait for its outcome, for 10 s at most. TestTrialIsToldToOthers failed to compile before: there was no such field.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -85,9 +85,11 @@
 	}
 	d := q.digest(e.Pool.Dialect)
 	rank := e.Hosts.Rank(magnoliashore.TargetID(d.String()))
-	e.suspects.mu.Lock()
-	ruling := e.suspects.table.Rule(e.Timer.Now(), d, rank)
-	e.suspects.mu.Unlock()
+	var ruling suspect.Ruling
+	e.suspects.update(d, func(t *suspect.Table) bool {
+		ruling = t.Rule(e.Timer.Now(), d, rank)
+		return ruling.Trial // other hosts wait for the outcome
+	})
 	if ruling.Verdict == suspect.Innocent {
 		return ruling
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -42,6 +42,7 @@
 	Digest  []byte
 	Ends    []wireEnd
 	Cleared int64 // negative if it was not cleared
+	Tried   int64 // negative if it was not tried again
 }
 
 type wireEnd struct {
@@ -85,16 +86,21 @@
 }
 
 func encodeRecord(now time.Time, r suspect.Record) wireRecord {
-	w := wireRecord{Digest: r.Digest[:], Cleared: -1}
-	if !r.Cleared.IsZero() {
-		w.Cleared = now.Sub(r.Cleared).Milliseconds()
-	}
+	w := wireRecord{Digest: r.Digest[:], Cleared: age(now, r.Cleared), Tried: age(now, r.Tried)}
 	for _, end := range r.Ends {
 		w.Ends = append(w.Ends, wireEnd{Target: string(end.Target), Age: now.Sub(end.At).Milliseconds()})
 	}
 	return w
 }
 
+// age returns the milliseconds since a time, or -1 if it is zero.
+func age(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 func decodeRecord(now time.Time, w wireRecord) (suspect.Record, error) {
 	r := suspect.Record{}
 	if len(w.Digest) != len(r.Digest) || len(w.Ends) > maxItems {
@@ -104,6 +110,9 @@
 	if w.Cleared >= 0 {
 		r.Cleared = now.Add(-fromMillis(w.Cleared))
 	}
+	if w.Tried >= 0 {
+		r.Tried = now.Add(-fromMillis(w.Tried))
+	}
 	for _, end := range w.Ends {
 		r.Ends = append(r.Ends, suspect.End{Target: magnoliashore.TargetID(end.Target), At: now.Add(-fromMillis(end.Age))})
 	}
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -21,7 +21,7 @@
 		Grants:  []quota.Grant{{Target: "t2", Share: 0.25, Term: 2 * time.Second}},
 		Records: []suspect.Record{
 			{Digest: suspect.Digest{1, 2}, Ends: []suspect.End{{Target: "t3", At: now.Add(-3 * time.Second)}}},
-			{Digest: suspect.Digest{3}, Cleared: now.Add(-time.Second)},
+			{Digest: suspect.Digest{3}, Cleared: now.Add(-time.Second), Tried: now.Add(-4 * time.Second)},
 		},
 		Ask: true,
 	}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -22,8 +22,8 @@
 	firstTrial  = 5 * time.Second
 	trialFactor = 4
 	maxTrial    = 10 * time.Minute
-	// Further time for each host that may try before this one, so that only one
-	// host does.
+	// Further time for each host that may try before this one: the hosts that are
+	// told of a trial wait for its outcome.
 	trialStagger = 500 * time.Millisecond
 	maxStagger   = 10 * time.Second
 	// Time without an outcome after which a trial counts as lost.
@@ -49,6 +49,7 @@
 	Digest  Digest
 	Ends    []End     // the earliest first
 	Cleared time.Time // when a target last completed the request; zero if it is not known that one has
+	Tried   time.Time // when a host last began to try the request again; zero for never
 }
 
 // Verdict says how to treat a request.
@@ -69,12 +70,8 @@
 	Trial   bool          // this request is the trial
 }
 
-// entry is a record with the trial that this host runs.
-type entry struct {
-	Record
-
-	trial time.Time // start of the trial in flight; zero without one
-}
+// entry is a record in a table.
+type entry struct{ Record }
 
 // Table holds what is known of suspicious requests. It is not safe for concurrent
 // use.
@@ -111,7 +108,9 @@
 	before, changed := slices.Clone(e.Ends), false
 	if r.Cleared.After(e.Cleared.Add(sameEnd)) || (r.Cleared.After(e.Cleared) && len(e.Ends) > 0) {
 		e.Cleared, changed = r.Cleared, true
-		e.trial = time.Time{}
+	}
+	if r.Tried.After(e.Tried.Add(sameEnd)) {
+		e.Tried, changed = r.Tried, true
 	}
 	for _, end := range r.Ends {
 		if e.knows(end) {
@@ -126,7 +125,7 @@
 		e.Ends = slices.Delete(e.Ends, ConvictingEnds, len(e.Ends)-maxEnds+ConvictingEnds)
 	}
 	if !slices.Equal(before, e.Ends) {
-		e.trial, changed = time.Time{}, true
+		changed = true
 	}
 	return changed
 }
@@ -197,13 +196,13 @@
 	}
 	ruling.Trial = true
 	wait := e.trialAt(rank).Sub(now)
-	if !e.trial.IsZero() {
-		wait = max(wait, e.trial.Add(trialTimeout).Sub(now))
+	if e.Tried.After(e.latest()) { // a host waits for the outcome
+		wait = max(wait, e.Tried.Add(trialTimeout).Sub(now))
 	}
 	if wait > 0 {
 		return Ruling{Verdict: Refused, Ends: len(e.Ends), After: wait}
 	}
-	e.trial = now
+	e.Tried = now
 	return ruling
 }
 
@@ -211,7 +210,7 @@
 // request.
 func (t *Table) EndTrial(d Digest) {
 	if e, ok := t.entries[d]; ok {
-		e.trial = time.Time{}
+		e.Tried = time.Time{}
 	}
 }
 
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -161,3 +161,28 @@
 		t.Error("got a change from a record that was known, want none")
 	}
 }
+
+// TestTrialIsToldToOthers guards against two hosts that try a refused request at the
+// same time.
+func TestTrialIsToldToOthers(t *testing.T) {
+	t.Parallel()
+	d := digest("/x")
+	var first, second suspect.Table
+	for i, target := range []magnoliashore.TargetID{"a", "b", "c"} {
+		first.Ended(at(float64(i)), d, target)
+		second.Ended(at(float64(i)), d, target)
+	}
+	if got := first.Rule(at(8), d, 0); !got.Trial {
+		t.Fatalf("got %+v, want a trial", got)
+	}
+	record, _ := first.Record(d)
+	if !second.Merge(at(8.01), record) {
+		t.Error("got no news from a host that tries the request, want some")
+	}
+	if got := second.Rule(at(9), d, 1); got.Verdict != suspect.Refused {
+		t.Errorf("got %+v during the trial of another host, want the request refused", got)
+	}
+	if got := second.Rule(at(19), d, 1); !got.Trial {
+		t.Errorf("got %+v long after a trial without an outcome, want another one", got)
+	}
+}
