perf(gateway): requests to targets without a limit skip the shares

Each attempt counted the hosts that share limits, which takes two locks, and each query looked up all its targets, also while no target names a limit.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -18,8 +18,8 @@
 func (e *Engine) chooseBelowLimit(now time.Time, targets []*catalog.Target, kind string, exclude []magnoliashore.TargetID) *catalog.Target {
 	for {
 		t := e.Balancer.Choose(now, targets, kind, exclude)
-		if t == nil {
-			return nil
+		if t == nil || !e.quotas.Limited(t.ID()) {
+			return t
 		}
 		e.want(now, t.ID())
 		if e.quotas.Allows(now, t.ID(), e.Hosts.Sharing()) {
@@ -49,6 +49,9 @@
 	view := e.View()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.quotas.Empty() { // fast path: called for each query
+		return 0
+	}
 	now, sharing := e.Timer.Now(), e.Hosts.Sharing()
 	var delays []time.Duration
 	for _, service := range q.services {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -130,6 +130,9 @@
 	t.share, t.until = min(g.Share, t.rate), now.Add(g.Term)
 }
 
+// Empty reports whether requests to no target are limited.
+func (h *Holder) Empty() bool { return len(h.targets) == 0 }
+
 // Limited reports whether the requests to a target are limited.
 func (h *Holder) Limited(id magnoliashore.TargetID) bool {
 	_, ok := h.targets[id]
