--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	deadlyPhase    = 14 * time.Second
+	deadlyPhase    = 11 * time.Second
 	deadlyPause    = 500 * time.Millisecond // between two requests of a caller
 	deadlyCallers  = 2
 	hotCallers     = 4 // that ask for one and the same path
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	limitPhase   = 11 * time.Second
+	limitPhase   = 9 * time.Second
 	limitGrace   = 4 * time.Second // after a target first names a limit, when requests are not counted
 	limitWindow  = 4 * time.Second
 	limitFactor  = 1.5 // requests in a window, relative to the limit
