fix(gateway): a failure does not clear a request that ends targets

A target that sheds or fails requests answered 500 to the request as well, and its answer cleared the request at all hosts: it could end three more targets.

Only an answer below 500 clears a request now. TestOnlyAnAnswerClearsARequest lists what does.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -155,20 +156,27 @@
 		e.Metrics.newConnections.Inc()
 	}
 	e.recordOutcome(ctx, a, result)
+	e.observeRequest(ctx, q, a.target, result)
+	return result
+}
+
+// observeRequest records what the outcome of an attempt says about the request.
+func (e *Engine) observeRequest(ctx context.Context, q *query, t *catalog.Target, result origin.Result) {
 	if result.Sent {
 		q.sent.Store(true)
 	}
 	if errors.Is(result.Err, origin.ErrTooLong) {
 		e.Metrics.answersTooLong.Inc()
-		e.Log.WithFields(log.Fields{"request": q.request.ID, "target": string(a.target.ID())}).WithError(result.Err).Warn("answer of a target is too long; its connection is closed")
+		e.Log.WithFields(log.Fields{"request": q.request.ID, "target": string(t.ID())}).WithError(result.Err).
+			Warn("answer of a target is too long; its connection is closed")
 	}
 	if result.Broken() && ctx.Err() == nil {
-		e.connectionBroke(q, a.target)
+		e.connectionBroke(q, t)
 	}
-	if result.Status != 0 && !result.Reply.NotRun && result.Tail == nil {
+	// A failure does not show that the target survives the request.
+	if result.Status != 0 && result.Status < http.StatusInternalServerError && !result.Reply.NotRun && result.Tail == nil {
 		e.requestCompleted(q)
 	}
-	return result
 }
 
 func (e *Engine) recordOutcome(ctx context.Context, a attempt, result origin.Result) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -35,8 +35,9 @@
 			Method: r.Method, URI: uri(r), Host: r.Host, Header: endToEnd(r.Header), Body: body,
 			ID: callerParams.ID, Priority: route.Priority(), AllowTail: !route.Scatters(),
 		},
-		received: received, kind: route.Name(), deadline: deadline, streamUntil: received.Add(streamTime), params: scatterParams(route, max(timeout-answerMargin, timeout/2)),
-		topK: route.TopK(), scatter: route.Scatters(), useHelpers: route.Scatters(),
+		received: received, kind: route.Name(), deadline: deadline, streamUntil: received.Add(streamTime),
+		params: scatterParams(route, max(timeout-answerMargin, timeout/2)),
+		topK:   route.TopK(), scatter: route.Scatters(), useHelpers: route.Scatters(),
 	}
 	q.services = route.Shards()
 	if !route.Scatters() {
--- /dev/null
+++ b/gateway/suspects_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/suspect"
+)
+
+// TestOnlyAnAnswerClearsARequest guards against a request that ends targets and is
+// cleared by an attempt that does not show that a target survives it.
+func TestOnlyAnAnswerClearsARequest(t *testing.T) {
+	t.Parallel()
+	target := targetOf("t1", time.Time{})
+	for _, test := range []struct {
+		name   string
+		result origin.Result
+		want   suspect.Verdict
+	}{
+		{"an answer", origin.Result{Status: http.StatusOK, Sent: true}, suspect.Innocent},
+		{"an answer without success", origin.Result{Status: http.StatusNotFound, Sent: true}, suspect.Innocent},
+		{"a failure", origin.Result{Status: http.StatusInternalServerError, Sent: true}, suspect.Refused},
+		{"a refusal", origin.Result{Status: http.StatusServiceUnavailable, Sent: true, Reply: magnoliashore.TargetReply{NotRun: true}}, suspect.Refused},
+		{"no answer", origin.Result{Sent: true}, suspect.Refused},
+		{"the beginning of a long answer", origin.Result{Status: http.StatusOK, Sent: true, Tail: &origin.Tail{}}, suspect.Refused},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			e := testEngine(catalog.NewView(nil, []*catalog.Target{target}), retry.Limit{})
+			e.Pool = &origin.Pool{Dialect: signedDialect{}}
+			q := &query{request: origin.Request{Method: http.MethodGet, Host: "h", URI: "/x"}}
+			for _, id := range []magnoliashore.TargetID{"a", "b", "c"} {
+				e.suspectRequests(id, []suspect.Digest{q.digest(signedDialect{})})
+			}
+			if got := e.rule(q).Verdict; got != suspect.Refused {
+				t.Fatalf("got verdict %d after three ends, want the request refused", got)
+			}
+			e.observeRequest(t.Context(), q, target, test.result)
+			if got := e.rule(q).Verdict; got != test.want {
+				t.Errorf("got verdict %d, want %d", got, test.want)
+			}
+		})
+	}
+}
