fix(quota): hosts of a large fleet keep low limits

Each host could save up a whole request, however small its share. And a host that got its first lease counted the time before with the part of a host that is alone, half of the limit. A share of less than one request in 1.5 s is now rounded at random, so its expected use is kept, and all hosts together save up 1.5 s of the limit at most. The time before a lease counts with the share that the host had.

TestManyHostsKeepALowLimit failed before and passes.

--- a/admit/bucket.go
+++ b/admit/bucket.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Bucket is a token bucket. The first call of Refill fills it with one token. It is
 // not safe for concurrent use.
@@ -9,17 +12,31 @@
 	refilled time.Time // time of the last refill
 }
 
+// NewBucket returns an empty bucket that is refilled from now on.
+func NewBucket(now time.Time) Bucket { return Bucket{refilled: now} }
+
 // Refill adds rate tokens per second since the last call, up to capacity, and
-// returns the tokens.
+// returns the tokens. It removes none.
 func (b *Bucket) Refill(now time.Time, rate, capacity float64) float64 {
 	if b.refilled.IsZero() {
 		b.tokens, b.refilled = 1, now
 	}
-	b.tokens = min(b.tokens+rate*now.Sub(b.refilled).Seconds(), capacity)
+	b.tokens = max(b.tokens, min(b.tokens+rate*now.Sub(b.refilled).Seconds(), capacity))
 	b.refilled = now
 	return b.tokens
 }
 
+// Round turns a part of a token into a whole one with the probability of that part,
+// and else into none: random is a number from 0 to 1. It returns the tokens.
+func (b *Bucket) Round(random float64) float64 {
+	whole := math.Floor(b.tokens)
+	if random < b.tokens-whole {
+		whole++
+	}
+	b.tokens = whole
+	return b.tokens
+}
+
 // Take spends one token.
 func (b *Bucket) Take() { b.Spend(1) }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -131,7 +131,7 @@
 	if !ok {
 		return // the limit has ended since the report
 	}
-	e.quotas.Accept(now, g)
+	e.quotas.Accept(now, g, sharing)
 	if g.Share > former/loggedShareChange && g.Share < former*loggedShareChange {
 		return
 	}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,11 +17,13 @@
 	// Demand below which a host needs no lease, in requests per second.
 	minDemand = 0.05
 	// Unused share that a host may spend at once.
-	maxBurst = time.Second
+	maxBurst = 1500 * time.Millisecond
 )
 
 // Holder holds the leases of one host. It is not safe for concurrent use.
 type Holder struct {
+	Random *rand.Rand // for shares of less than one request in maxBurst; nil for the global generator
+
 	targets map[magnoliashore.TargetID]*holding
 }
 
@@ -42,7 +45,7 @@
 	}
 	t, ok := h.targets[id]
 	if !ok {
-		h.targets[id] = &holding{rate: rate, measured: now}
+		h.targets[id] = &holding{rate: rate, measured: now, bucket: admit.NewBucket(now)}
 		return
 	}
 	if rate < t.rate {
@@ -69,7 +72,7 @@
 // Allows reports whether this host may send a request to a target.
 func (h *Holder) Allows(now time.Time, id magnoliashore.TargetID, sharing Sharing) bool {
 	t, ok := h.targets[id]
-	return !ok || t.refill(now, sharing) >= 1
+	return !ok || h.tokens(now, t, sharing) >= 1
 }
 
 // Take spends the request that Allows has admitted.
@@ -86,7 +89,7 @@
 	if !ok {
 		return 0
 	}
-	missing := 1 - t.refill(now, sharing)
+	missing := 1 - h.tokens(now, t, sharing)
 	if missing <= 0 {
 		return 0
 	}
@@ -121,12 +124,12 @@
 }
 
 // Accept takes over a lease.
-func (h *Holder) Accept(now time.Time, g Grant) {
+func (h *Holder) Accept(now time.Time, g Grant, sharing Sharing) {
 	t, ok := h.targets[g.Target]
 	if !ok {
 		return
 	}
-	t.refill(now, Sharing{}) // what has passed counts with the former share
+	t.refill(now, sharing) // what has passed counts with the former share
 	t.share, t.until = min(g.Share, t.rate), now.Add(g.Term)
 }
 
@@ -171,7 +174,23 @@
 	return sharing.unleased(t.rate)
 }
 
-func (t *holding) refill(now time.Time, sharing Sharing) float64 {
+// tokens returns the requests that this host may send now. The share of a host in a
+// large fleet may be less than one request in maxBurst. It is then rounded at random:
+// if each host saved up a whole request, all together could exceed the limit.
+func (h *Holder) tokens(now time.Time, t *holding, sharing Sharing) float64 {
+	tokens, capacity := t.refill(now, sharing)
+	if capacity >= 1 || tokens >= 1 {
+		return tokens
+	}
+	if h.Random == nil {
+		return t.bucket.Round(rand.Float64())
+	}
+	return t.bucket.Round(h.Random.Float64())
+}
+
+// refill refills the bucket, and returns its tokens and its capacity.
+func (t *holding) refill(now time.Time, sharing Sharing) (tokens, capacity float64) {
 	share := t.shareAt(now, sharing)
-	return t.bucket.Refill(now, share, max(share*maxBurst.Seconds(), 1))
+	capacity = share * maxBurst.Seconds()
+	return t.bucket.Refill(now, share, capacity), capacity
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 func newFleet(hosts int, rate float64) *fleet {
 	f := &fleet{rate: rate, random: rand.New(rand.NewPCG(1, 2)), leases: &quota.Issuer{}, changed: time.Unix(0, 0)}
 	for range hosts {
-		f.holders = append(f.holders, &quota.Holder{})
+		f.holders = append(f.holders, &quota.Holder{Random: f.random})
 	}
 	return f
 }
@@ -84,7 +85,7 @@
 			return
 		}
 		if g, ok := f.leases.Grant(now, fmt.Sprint(host), r, f.sharing(now)); ok {
-			f.later(now, func(now time.Time) { f.holders[host].Accept(now, g) })
+			f.later(now, func(now time.Time) { f.holders[host].Accept(now, g, f.sharing(now)) })
 		}
 	})
 }
@@ -201,3 +202,44 @@
 		}
 	}
 }
+
+// TestManyHostsKeepALowLimit guards against hosts of which each saves up a request,
+// or starts its lease with one, and which exceed a low limit when they all use it.
+func TestManyHostsKeepALowLimit(t *testing.T) {
+	t.Parallel()
+	const length = 30 * time.Second
+	idleThenBusy := func(idle, period, excess float64) func(at time.Duration) float64 {
+		return func(at time.Duration) float64 {
+			if math.Mod(at.Seconds(), period) < idle {
+				return 0
+			}
+			return excess
+		}
+	}
+	for name, demand := range map[string]func(at time.Duration) float64{ // relative to the limit
+		"steady":               idleThenBusy(0, 1, 2),
+		"three seconds of six": idleThenBusy(3, 6, 4),
+		"four seconds of ten":  idleThenBusy(6, 10, 40),
+	} {
+		for _, fleet := range []struct {
+			hosts int
+			rate  float64
+		}{{8, 2}, {8, 5}, {60, 5}, {60, 15}, {300, 30}} {
+			t.Run(fmt.Sprintf("%s, %d hosts", name, fleet.hosts), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(fleet.hosts, fleet.rate)
+				start := time.Unix(1000, 0)
+				for at := time.Duration(0); at < length; at += simStep {
+					wanted := make([]float64, fleet.hosts)
+					for i := range wanted {
+						wanted[i] = demand(at) * fleet.rate / float64(fleet.hosts)
+					}
+					f.step(start.Add(at), wanted)
+				}
+				if got, want := f.worst(), int(1.5*fleet.rate*window.Seconds())+5; got > want {
+					t.Errorf("got %d requests in %s at a limit of %.0f, want at most %d", got, window, fleet.rate, want)
+				}
+			})
+		}
+	}
+}
