fix(gateway): a host that has just started knows suspicious requests at once

A starting host asked for records at its next check, up to 250 ms after it had found another host; it now asks when it finds one, which it does before it has a configuration. And its budget for telling news began empty, so hosts that had started a moment before told the third end late; it begins full.

--- a/admit/bucket.go
+++ b/admit/bucket.go
@@ -12,8 +12,8 @@
 	refilled time.Time // time of the last refill
 }
 
-// NewBucket returns an empty bucket that is refilled from now on.
-func NewBucket(now time.Time) Bucket { return Bucket{refilled: now} }
+// NewBucket returns a bucket with tokens that is refilled from now on.
+func NewBucket(now time.Time, tokens float64) Bucket { return Bucket{tokens: tokens, refilled: now} }
 
 // Refill adds rate tokens per second since the last call, up to capacity, and
 // returns the tokens. It removes none.
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -175,7 +175,8 @@
 	}
 	h.notices = &notices{
 		self: s.Peer, engine: h.engine, issuer: h.hosts.Issuer, notify: h.members.Notify, timer: h.Timer, log: h.Log,
-		peers: h.hosts.Peers, inbox: ring.New[notice.Message](noticeInboxSize),
+		bytes: admit.NewBucket(h.Timer.Now(), maxRecordBurst),
+		peers: h.hosts.Peers, joined: h.joined, inbox: ring.New[notice.Message](noticeInboxSize),
 	}
 	h.engine.suspects.due = make(chan struct{}, 1)
 	h.callers = &callerServer{handler: &Handler{
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -34,9 +34,9 @@
 	recordsPerAnswer = 32
 	// Checks between two exchanges of the worst records with a random host.
 	exchangeChecks = 4
-	// Checks at which a starting host asks others for their records, once it knows
-	// any.
-	askChecks = 4
+	// How often a starting host asks others for their records: once it knows any, and
+	// at the next checks.
+	askTimes = 4
 	// Bytes of records that a host sends per second, and at once.
 	maxRecordRate  = 4 << 10
 	maxRecordBurst = 32 << 10
@@ -50,6 +50,7 @@
 	issuer func(id magnoliashore.TargetID) string
 	notify func(peer string, data []byte) error
 	peers  func() []string // other running hosts
+	joined <-chan struct{} // closed when another host is found
 	timer  *timer.Service
 	log    log.Interface
 
@@ -66,10 +67,14 @@
 func (n *notices) run(ctx context.Context) {
 	ticks := n.timer.Every(noticeInterval)
 	defer ticks.Stop()
+	joined := n.joined
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-joined:
+			joined = nil
+			n.ask() // before this host has a configuration and serves requests
 		case <-ticks.C:
 			n.leases.Expire(n.timer.Now())
 			n.report()
@@ -143,9 +148,13 @@
 	if n.checks%exchangeChecks == 0 {
 		n.sendRecords(n.randomPeers(1), n.engine.suspects.worst(n.timer.Now(), recordsPerDatagram))
 	}
-	if n.asked == askChecks {
-		return
+	if n.asked < askTimes {
+		n.ask()
 	}
+}
+
+// ask asks a random host for its records.
+func (n *notices) ask() {
 	for _, peer := range n.randomPeers(1) {
 		n.asked++
 		n.send(peer, notice.Message{Ask: true})
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -45,7 +45,7 @@
 	}
 	t, ok := h.targets[id]
 	if !ok {
-		h.targets[id] = &holding{rate: rate, measured: now, bucket: admit.NewBucket(now)}
+		h.targets[id] = &holding{rate: rate, measured: now, bucket: admit.NewBucket(now, 0)}
 		return
 	}
 	if rate < t.rate {
