fix(suspect): late reports of an end are no news

The log of soak seed 8203 showed five hosts that told each other for 50 ms, some hundred times, of one end and its clearance. Each took the time at which a datagram came for the time of the event, so an end that had been cleared came back as a later one, and was cleared again. In the same way an end that was told to a suspended host came back as another end of the same target, and could convict a request that two targets had ended under.

An end is now identified by the target and the start of its process, and events of one digest within 0.4 s after a clearance count as before it.

TestLateReportsAreNoNews: the cases failed before. Seed 8203 is a regression case of the soak.

--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -122,7 +122,7 @@
 	e.Log.WithFields(log.Fields{
 		"target": string(t.ID()), "service": string(t.Service()), "requests": len(digests), "digests": strings.Join(names, ","),
 	}).Info("target ended while it ran requests")
-	e.suspectRequests(t.ID(), digests)
+	e.suspectRequests(t, digests)
 }
 
 // maxLoggedDigests is the most digests in one log line.
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
@@ -134,10 +135,10 @@
 }
 
 // suspectRequests records that a target ended while it ran requests.
-func (e *Engine) suspectRequests(id magnoliashore.TargetID, digests []suspect.Digest) {
+func (e *Engine) suspectRequests(target *catalog.Target, digests []suspect.Digest) {
 	now := e.Timer.Now()
 	for _, d := range digests {
-		if e.suspects.update(d, func(t *suspect.Table) bool { return t.Ended(now, d, id) }) {
+		if e.suspects.update(d, func(t *suspect.Table) bool { return t.Ended(now, d, target.ID(), target.ProcessStart()) }) {
 			e.logConviction(d, "this host")
 		}
 	}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -35,7 +35,7 @@
 			e.Pool = &origin.Pool{Dialect: signedDialect{}}
 			q := &query{request: origin.Request{Method: http.MethodGet, Host: "h", URI: "/x"}}
 			for _, id := range []magnoliashore.TargetID{"a", "b", "c"} {
-				e.suspectRequests(id, []suspect.Digest{q.digest(signedDialect{})})
+				e.suspectRequests(targetOf(id, time.Time{}), []suspect.Digest{q.digest(signedDialect{})})
 			}
 			if got := e.rule(q).Verdict; got != suspect.Refused {
 				t.Fatalf("got verdict %d after three ends, want the request refused", got)
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -48,6 +48,7 @@
 type wireEnd struct {
 	_      struct{} `cbor:",toarray"`
 	Target string
+	Life   int64 // start of the process of the target
 	Age    int64
 }
 
@@ -88,7 +89,7 @@
 func encodeRecord(now time.Time, r suspect.Record) wireRecord {
 	w := wireRecord{Digest: r.Digest[:], Cleared: age(now, r.Cleared), Tried: age(now, r.Tried)}
 	for _, end := range r.Ends {
-		w.Ends = append(w.Ends, wireEnd{Target: string(end.Target), Age: now.Sub(end.At).Milliseconds()})
+		w.Ends = append(w.Ends, wireEnd{Target: string(end.Target), Life: end.Process, Age: now.Sub(end.At).Milliseconds()})
 	}
 	return w
 }
@@ -114,7 +115,7 @@
 		r.Tried = now.Add(-fromMillis(w.Tried))
 	}
 	for _, end := range w.Ends {
-		r.Ends = append(r.Ends, suspect.End{Target: magnoliashore.TargetID(end.Target), At: now.Add(-fromMillis(end.Age))})
+		r.Ends = append(r.Ends, suspect.End{Target: magnoliashore.TargetID(end.Target), Process: end.Life, At: now.Add(-fromMillis(end.Age))})
 	}
 	return r, nil
 }
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -20,7 +20,7 @@
 		Reports: []quota.Report{{Target: "t1", Rate: 14.8, Demand: 3.5, Share: 2, Left: 1500 * time.Millisecond}},
 		Grants:  []quota.Grant{{Target: "t2", Share: 0.25, Term: 2 * time.Second}},
 		Records: []suspect.Record{
-			{Digest: suspect.Digest{1, 2}, Ends: []suspect.End{{Target: "t3", At: now.Add(-3 * time.Second)}}},
+			{Digest: suspect.Digest{1, 2}, Ends: []suspect.End{{Target: "t3", Process: 5, At: now.Add(-3 * time.Second)}}},
 			{Digest: suspect.Digest{3}, Cleared: now.Add(-time.Second), Tried: now.Add(-4 * time.Second)},
 		},
 		Ask: true,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	{seed: 1, cause: "no bug; a short run as a baseline"},
 	{seed: 1000, cause: "SIGHUP ended a host in the 100 ms before its program handled signals"},
 	{seed: 6403, cause: "hosts waited 1.5 s at a restored store that stood at their former revision"},
+	{seed: 8203, cause: "a host that had just started sent a request on that all others refused"},
 	{seed: 302, cause: "a bug in the soak test: two concurrent restarts of one host started it twice"},
 }
 
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -12,8 +12,13 @@
 const ConvictingEnds = 3
 
 const (
-	// Reports on one target within this time are about the same end.
+	// Reports on a target whose process is not known are about the same end within
+	// this time.
 	sameEnd = 2 * time.Second
+	// Differences between the times of one event at several hosts: delays of
+	// datagrams. An end within this time after a
+	// clearance counts as before it.
+	timeSlack = 400 * time.Millisecond
 	// Time after the convicting end in which further ends are those of requests
 	// that were in flight.
 	settleTime = 4 * time.Second
@@ -40,8 +45,20 @@
 
 // End is the end of a target while it ran a request.
 type End struct {
-	Target magnoliashore.TargetID
-	At     time.Time
+	Target  magnoliashore.TargetID
+	Process int64 // start of its process, which tells two lives of one ID apart; zero if not known
+	At      time.Time
+}
+
+// same reports whether two reports are about the same end.
+func (e End) same(other End) bool {
+	if e.Target != other.Target {
+		return false
+	}
+	if e.Process != 0 && other.Process != 0 {
+		return e.Process == other.Process
+	}
+	return e.At.Sub(other.At).Abs() < sameEnd
 }
 
 // Record is what is known of one digest.
@@ -84,8 +101,8 @@
 
 // Ended records that a target ended while it ran a request, and reports whether
 // that was not known.
-func (t *Table) Ended(now time.Time, d Digest, target magnoliashore.TargetID) bool {
-	return t.Merge(now, Record{Digest: d, Ends: []End{{Target: target, At: now}}})
+func (t *Table) Ended(now time.Time, d Digest, target magnoliashore.TargetID, process int64) bool {
+	return t.Merge(now, Record{Digest: d, Ends: []End{{Target: target, Process: process, At: now}}})
 }
 
 // Completed records that a target completed a request, which clears it. It reports
@@ -106,10 +123,10 @@
 		e = t.add(now, r.Digest)
 	}
 	before, changed := slices.Clone(e.Ends), false
-	if r.Cleared.After(e.Cleared.Add(sameEnd)) || (r.Cleared.After(e.Cleared) && len(e.Ends) > 0) {
+	if r.Cleared.After(e.Cleared.Add(timeSlack)) {
 		e.Cleared, changed = r.Cleared, true
 	}
-	if r.Tried.After(e.Tried.Add(sameEnd)) {
+	if r.Tried.After(e.Tried.Add(timeSlack)) {
 		e.Tried, changed = r.Tried, true
 	}
 	for _, end := range r.Ends {
@@ -118,7 +135,7 @@
 		}
 		e.Ends = append(e.Ends, end)
 	}
-	e.Ends = slices.DeleteFunc(e.Ends, func(end End) bool { return !end.At.After(e.Cleared) })
+	e.Ends = slices.DeleteFunc(e.Ends, e.cleared)
 	slices.SortFunc(e.Ends, func(a, b End) int { return a.At.Compare(b.At) })
 	if len(e.Ends) > maxEnds {
 		// The convicting ends and the latest ones decide.
@@ -131,14 +148,10 @@
 }
 
 // knows reports whether an end is known, or from before the request was cleared.
-func (e *entry) knows(end End) bool {
-	if !end.At.After(e.Cleared) {
-		return true
-	}
-	return slices.ContainsFunc(e.Ends, func(known End) bool {
-		return known.Target == end.Target && end.At.Sub(known.At).Abs() < sameEnd
-	})
-}
+func (e *entry) knows(end End) bool { return e.cleared(end) || slices.ContainsFunc(e.Ends, end.same) }
+
+// cleared reports whether an end counts as before the request was cleared.
+func (e *entry) cleared(end End) bool { return !end.At.After(e.Cleared.Add(timeSlack)) }
 
 // add adds a digest. In a full table, it replaces the one whose last end is the
 // longest ago, of those that are not refused if there are any.
--- a/suspect/table_test.go
+++ b/suspect/table_test.go
@@ -82,7 +82,7 @@
 			for _, s := range test.steps {
 				table.Expire(at(s.at))
 				if s.end != "" {
-					table.Ended(at(s.at), d, magnoliashore.TargetID(s.end))
+					table.Ended(at(s.at), d, magnoliashore.TargetID(s.end), 0)
 				}
 				if s.complete {
 					table.Completed(at(s.at), d)
@@ -133,10 +133,10 @@
 	var table suspect.Table
 	poison := digest("/poison")
 	for _, target := range []magnoliashore.TargetID{"a", "b", "c"} {
-		table.Ended(at(0), poison, target)
+		table.Ended(at(0), poison, target, 0)
 	}
 	for i := range digests {
-		table.Ended(at(1), digest(fmt.Sprint(i)), "d")
+		table.Ended(at(1), digest(fmt.Sprint(i)), "d", 0)
 	}
 	if got := table.Len(); got > limit {
 		t.Errorf("got %d digests, want %d at most", got, limit)
@@ -169,8 +169,8 @@
 	d := digest("/x")
 	var first, second suspect.Table
 	for i, target := range []magnoliashore.TargetID{"a", "b", "c"} {
-		first.Ended(at(float64(i)), d, target)
-		second.Ended(at(float64(i)), d, target)
+		first.Ended(at(float64(i)), d, target, 0)
+		second.Ended(at(float64(i)), d, target, 0)
 	}
 	if got := first.Rule(at(8), d, 0); !got.Trial {
 		t.Fatalf("got %+v, want a trial", got)
@@ -186,3 +186,43 @@
 		t.Errorf("got %+v long after a trial without an outcome, want another one", got)
 	}
 }
+
+// TestLateReportsAreNoNews guards against hosts that tell each other again and again
+// about an end and a clearance, since each takes the time of a datagram for that of
+// the event, and against one end that counts twice.
+func TestLateReportsAreNoNews(t *testing.T) {
+	t.Parallel()
+	const life = 7
+	d := digest("/x")
+	end := func(seconds float64) suspect.Record {
+		return suspect.Record{Digest: d, Ends: []suspect.End{{Target: "a", Process: life, At: at(seconds)}}}
+	}
+	for _, test := range []struct {
+		name    string
+		records []suspect.Record
+		want    int // ends known afterwards
+		news    int
+	}{
+		{"an end told later than it was cleared", []suspect.Record{end(0), {Digest: d, Cleared: at(0.01)}, end(0.3)}, 0, 2},
+		{"a clearance told twice", []suspect.Record{end(0), {Digest: d, Cleared: at(0.01)}, {Digest: d, Cleared: at(0.3)}}, 0, 2},
+		{"an end told to a suspended host", []suspect.Record{end(0), end(5)}, 1, 1},
+		{"another life of the target", []suspect.Record{end(0), {Digest: d, Ends: []suspect.End{{Target: "a", Process: life + 1, At: at(1)}}}}, 2, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var table suspect.Table
+			news := 0
+			for _, r := range test.records {
+				if table.Merge(at(6), r) {
+					news++
+				}
+			}
+			if got := table.Ends(d, nil); got != test.want {
+				t.Errorf("got %d ends, want %d", got, test.want)
+			}
+			if news != test.news {
+				t.Errorf("got %d records with news, want %d", news, test.news)
+			}
+		})
+	}
+}
