--- a/gateway/query.go
+++ b/gateway/query.go
@@ -45,8 +45,7 @@
 	digestSum  suspect.Digest
 }
 
-// digest returns the digest of the request. Few requests need one, so it is made at
-// the first call.
+// digest returns the digest of the request. It is made at the first call.
 func (q *query) digest(dialect magnoliashore.Dialect) suspect.Digest {
 	q.digestOnce.Do(func() {
 		r := suspect.Request{
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -20,10 +20,11 @@
 type suspects struct {
 	size atomic.Int64 // digests in the table; read without the lock, for each request
 
-	mu    sync.Mutex
-	table suspect.Table
-	news  []suspect.Digest
-	due   chan struct{} // receives a value when there are news; nil if nobody is told
+	mu     sync.Mutex
+	table  suspect.Table
+	recent suspect.Recent // of this host
+	news   []suspect.Digest
+	due    chan struct{} // receives a value when there are news; nil if nobody is told
 }
 
 // known reports whether there are suspicious requests at all.
@@ -134,10 +135,22 @@
 	return e.suspects.table.Ends(d, exclude)
 }
 
-// suspectRequests records that a target ended while it ran requests.
+// completedRecently reports whether a target completed a request for this host a
+// short time ago.
+func (s *suspects) completedRecently(now time.Time, d suspect.Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recent.Has(now, d)
+}
+
+// suspectRequests records that a target ended while it ran requests. Those that
+// targets have completed a short time ago are innocent.
 func (e *Engine) suspectRequests(target *catalog.Target, digests []suspect.Digest) {
 	now := e.Timer.Now()
 	for _, d := range digests {
+		if e.suspects.completedRecently(now, d) {
+			continue
+		}
 		if e.suspects.update(d, func(t *suspect.Table) bool { return t.Ended(now, d, target.ID(), target.ProcessStart()) }) {
 			e.logConviction(d, "this host")
 		}
@@ -146,10 +159,13 @@
 
 // requestCompleted records that a target completed a request, which clears it.
 func (e *Engine) requestCompleted(q *query) {
+	d, now := q.digest(e.Pool.Dialect), e.Timer.Now()
+	e.suspects.mu.Lock()
+	e.suspects.recent.Add(now, d)
+	e.suspects.mu.Unlock()
 	if !e.suspects.known() {
 		return
 	}
-	d, now := q.digest(e.Pool.Dialect), e.Timer.Now()
 	if e.suspects.update(d, func(t *suspect.Table) bool { return t.Completed(now, d) }) {
 		e.Metrics.suspectsCleared.Inc()
 		e.Log.WithFields(log.Fields{"request": q.request.ID, "digest": d.String()}).Info("request is cleared: a target has completed it")
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -47,3 +47,23 @@
 		})
 	}
 }
+
+// TestRequestThatTargetsCompleteIsNotSuspected guards against a request that is asked
+// for all the time and refused, since it was in flight at targets that ended in a row.
+func TestRequestThatTargetsCompleteIsNotSuspected(t *testing.T) {
+	t.Parallel()
+	e := testEngine(catalog.NewView(nil, nil), retry.Limit{})
+	e.Pool = &origin.Pool{Dialect: signedDialect{}}
+	hot := &query{request: origin.Request{Method: http.MethodGet, Host: "h", URI: "/hot"}}
+	deadly := &query{request: origin.Request{Method: http.MethodGet, Host: "h", URI: "/deadly"}}
+	e.observeRequest(t.Context(), hot, targetOf("t1", time.Time{}), origin.Result{Status: http.StatusOK, Sent: true})
+	for _, id := range []magnoliashore.TargetID{"a", "b", "c"} {
+		e.suspectRequests(targetOf(id, time.Time{}), []suspect.Digest{hot.digest(signedDialect{}), deadly.digest(signedDialect{})})
+	}
+	if got := e.rule(hot).Verdict; got != suspect.Innocent {
+		t.Errorf("got verdict %d for the request that was completed, want it innocent", got)
+	}
+	if got := e.rule(deadly).Verdict; got != suspect.Refused {
+		t.Errorf("got verdict %d for the request that was not, want it refused", got)
+	}
+}
