feat(registry): logs tell how long a failed source took, and over which connection

A host that was blind to changes logged only that it read from another source. The line of a failed source is now at level info, with the time that the call took and whether it used a kept connection or a new one: this separates time-outs in series from kept connections and from stale readers.

--- a/registry/fetch.go
+++ b/registry/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,9 +31,16 @@
 	if err != nil {
 		return nil, nil, magnoliashore.Step(err, "build a request for entries", address)
 	}
-	resp, err := client.Do(req)
+	connection := "no connection"
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connection = "a new connection"
+		if info.Reused {
+			connection = "a kept connection"
+		}
+	}}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, nil, magnoliashore.Step(err, "request entries", address)
+		return nil, nil, magnoliashore.Step(err, "request entries over "+connection, address)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize+1))
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -177,6 +177,7 @@
 	if candidate.Name != StoreName {
 		src = s.Dial(candidate)
 	}
+	began := s.Timer.Now()
 	batch, err := read(src)
 	batch.Source = candidate.Name
 	switch {
@@ -192,7 +193,7 @@
 		s.lastGood, s.lastGoodHops, s.misses = candidate.Name, batch.Hops, 0
 		return batch, nil
 	}
-	s.recordFailure(candidate.Name, err)
+	s.recordFailure(candidate.Name, began, err)
 	return batch, err
 }
 
@@ -224,7 +225,7 @@
 	return picked
 }
 
-func (s *Selector) recordFailure(name string, err error) {
+func (s *Selector) recordFailure(name string, began time.Time, err error) {
 	s.misses++
 	if s.lastGood == name {
 		s.lastGood = ""
@@ -235,5 +236,7 @@
 	a := s.avoided[name]
 	wait := min(minAvoidTime<<min(a.failures, 10), maxAvoidTime)
 	s.avoided[name] = avoidance{failures: a.failures + 1, until: s.Timer.Now().Add(wait)}
-	s.Log.WithFields(log.Fields{"from": name, "reason": err.Error(), "avoided": wait.String()}).Debug("source of entries failed")
+	s.Log.WithFields(log.Fields{
+		"from": name, "reason": err.Error(), "took": s.Timer.Now().Sub(began).Round(time.Millisecond).String(), "avoided": wait.String(),
+	}).Info("source of entries failed")
 }
