fix(registry): sources of entries are not waited for one after another

Cause: a host asked one source after another and gave each 1.5 to 3 s. A reader counted as good for 2.5 s without the store.

Now an answer is overdue 0.3 s after the end of its wait, which is 0.5 s in place of 1 and 1.5 s. The source is then called over a new connection and the next one as well; another one follows each 0.3 s until one has answered. Connections kept for later are closed before that. A reader is stale after 1.2 s.

--- a/registry/peer.go
+++ b/registry/peer.go
@@ -26,10 +26,8 @@
 	queryWait  = "wait"  // whether to wait for a change
 )
 
-const (
-	longPollTime = time.Second            // time for which a host holds a request open while nothing changes
-	peerTimeout  = 700 * time.Millisecond // time after longPollTime after which a host counts as unreachable
-)
+// peerTimeout is the time after LongPollTime after which a host counts as unreachable.
+const peerTimeout = 700 * time.Millisecond
 
 type wireItem struct {
 	_        struct{} `cbor:",toarray"`
@@ -59,11 +57,13 @@
 
 var _ Source = (*Peer)(nil)
 
-// NewPeerClient returns a client for calls to other hosts.
+// NewPeerClient returns a client for calls to other hosts. It keeps the connection to
+// the host that it reads from, and no others for later: they may be silent by then.
 func NewPeerClient() *http.Client {
-	dialer := tcp.Dialer(peerTimeout, longPollTime+peerTimeout)
+	dialer := tcp.Dialer(peerTimeout, LongPollTime+peerTimeout)
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadSize,
+		IdleConnTimeout: LongPollTime,
 	}}
 }
 
@@ -80,7 +80,7 @@
 }
 
 func (p *Peer) call(ctx context.Context, query string) (Batch, error) {
-	data, _, err := Fetch(ctx, p.Client, p.Address, Path+query, longPollTime+peerTimeout)
+	data, _, err := Fetch(ctx, p.Client, p.Address, Path+query, LongPollTime+peerTimeout)
 	if err != nil {
 		return Batch{}, err
 	}
@@ -228,7 +228,7 @@
 	if err != nil {
 		return Position{}, Batch{}, errors.Wrapf(err, "parsing the number of hops %q", query.Get(queryHops))
 	}
-	wait := longPollTime
+	wait := LongPollTime
 	if query.Get(queryWait) == strconv.FormatBool(false) {
 		wait = 0
 	}
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,9 +12,20 @@
 )
 
 const (
-	minAvoidTime = 2 * time.Second         // time to avoid a failed source, doubled by each further failure; longer than a round of all sources
-	maxAvoidTime = 4 * time.Second         // limits how long a recovered source remains unused
-	maxReaderAge = 2500 * time.Millisecond // age beyond which the data of a host that reads the store is stale
+	minAvoidTime = 2 * time.Second // time to avoid a failed source, doubled by each further failure; longer than a round of all sources
+	maxAvoidTime = 4 * time.Second // limits how long a recovered source remains unused
+
+	// LongPollTime is how long a source may hold a call open while nothing changes.
+	// A silent source is noticed that much later.
+	LongPollTime = 500 * time.Millisecond
+	// Time after which an answer that need not wait for a change is overdue. A slow
+	// store answers within 250 ms.
+	answerTime = 300 * time.Millisecond
+	// The same for a listing, which may have several pages.
+	listTime = 2 * answerTime
+	// Age beyond which the data of a host that reads the store is stale: a long poll
+	// and a call to another source have brought no answer.
+	maxReaderAge = LongPollTime + 2*answerTime + coalesceDelay
 )
 
 // Reasons to switch to another source although the host answered. Its answer is
@@ -23,6 +35,10 @@
 	errTooManyHops = errors.New("the source is too far from the store")
 )
 
+// errOverdue means that a source has not answered in time. Its answer still counts
+// if it arrives later.
+var errOverdue = errors.New("the answer is overdue")
+
 // errFormerEra means that the source does not know yet that the store was
 // restored. Its answer is not applied.
 var errFormerEra = errors.New("the source has entries of a former era of the store")
@@ -30,7 +46,7 @@
 // maxAge returns the age beyond which data that came through hosts is stale. Each
 // host adds the time between two of its calls.
 func maxAge(hops int) time.Duration {
-	return maxReaderAge + time.Duration(max(0, hops-1))*(longPollTime+coalesceDelay)
+	return maxReaderAge + time.Duration(max(0, hops-1))*(LongPollTime+coalesceDelay)
 }
 
 // hasBatch reports whether a call with this error has returned a batch.
@@ -59,6 +75,11 @@
 // or reads from other hosts itself. A host that cannot reach the store thus still
 // receives changes, and a store that serves few hosts serves all. The limit on
 // hops prevents cycles of hosts none of which reads the store.
+//
+// If an answer is overdue, the same source is called over a new connection and the
+// next candidate as well, and further candidates follow until one has answered. One
+// event may silence the connections to all sources, so the time until a change
+// arrives must not be a sum of timeouts.
 type Selector struct {
 	Store Source
 	Dial  func(host Candidate) Source
@@ -68,10 +89,11 @@
 	Log   log.Interface
 
 	avoided      map[string]avoidance
-	current      string // source of the latest call
-	lastGood     string // source of the latest good answer; empty if it has failed since
-	lastGoodHops int    // of the latest good answer
-	misses       int    // calls since the latest good answer
+	overdue      map[string]bool // sources whose latest answer was overdue, until the next good one
+	current      string          // preferred source of the latest call
+	lastGood     string          // source of the latest good answer; empty if it has failed since
+	lastGoodHops int             // of the latest good answer
+	misses       int             // calls since the latest good answer
 }
 
 var _ Source = (*Selector)(nil)
@@ -84,16 +106,17 @@
 
 // List returns all items.
 func (s *Selector) List(ctx context.Context) (Batch, error) {
-	return s.call(ctx, func(src Source) (Batch, error) { return src.List(ctx) })
+	return s.call(ctx, operation{answerTime: listTime, read: func(ctx context.Context, src Source, _ bool) (Batch, error) {
+		return src.List(ctx)
+	}})
 }
 
-// Watch returns the items changed after a position. The first call to another
-// source than that of the latest good answer does not wait: a restored store that
-// stands at the same revision as the position would reveal its era only at the end
-// of the wait.
+// Watch returns the items changed after a position. A call to another source than
+// that of the latest good answer does not wait: a restored store that stands at the
+// same revision as the position would reveal its era only at the end of the wait.
 func (s *Selector) Watch(ctx context.Context, after Position, wait bool) (Batch, error) {
-	return s.call(ctx, func(src Source) (Batch, error) {
-		batch, err := src.Watch(ctx, after, wait && s.current == s.lastGood)
+	op := operation{answerTime: answerTime, read: func(ctx context.Context, src Source, mayWait bool) (Batch, error) {
+		batch, err := src.Watch(ctx, after, mayWait)
 		switch {
 		case err != nil:
 		case batch.Position.Era > after.Era:
@@ -103,7 +126,11 @@
 			err = errors.Wrapf(errFormerEra, "era %d, known is %d", batch.Position.Era, after.Era)
 		}
 		return batch, err
-	})
+	}}
+	if wait {
+		op.waitTime = LongPollTime
+	}
+	return s.call(ctx, op)
 }
 
 const (
@@ -160,10 +187,11 @@
 	return batch, err
 }
 
-// call makes one call. It reports the hops of the latest good answer, so that
-// trying whether a preferred source has recovered does not change them.
-func (s *Selector) call(ctx context.Context, read func(Source) (Batch, error)) (Batch, error) {
-	batch, err := s.callPicked(ctx, read)
+// call reads from the sources until one has answered. It reports the hops of the
+// latest good answer, so that trying whether a preferred source has recovered does
+// not change them.
+func (s *Selector) call(ctx context.Context, op operation) (Batch, error) {
+	batch, err := s.race(ctx, op)
 	batch.Hops = s.lastGoodHops
 	if s.lastGood == "" {
 		batch.Hops = unreachableHops
@@ -171,58 +199,63 @@
 	return batch, err
 }
 
-func (s *Selector) callPicked(ctx context.Context, read func(Source) (Batch, error)) (Batch, error) {
-	candidate := s.pick()
-	src := s.Store
-	if candidate.Name != StoreName {
-		src = s.Dial(candidate)
-	}
-	began := s.Timer.Now()
-	batch, err := read(src)
-	batch.Source = candidate.Name
-	switch {
-	case errors.Is(err, ErrCompacted), ctx.Err() != nil:
-		return batch, err
-	case err != nil:
-	case batch.Age > maxAge(batch.Hops):
-		err = errors.Wrapf(errStale, "last contact %s ago", batch.Age)
-	case batch.Hops > candidate.MaxHops:
-		err = errors.Wrapf(errTooManyHops, "%d hosts away", batch.Hops)
-	default:
-		delete(s.avoided, candidate.Name)
-		s.lastGood, s.lastGoodHops, s.misses = candidate.Name, batch.Hops, 0
-		return batch, nil
+// prefer returns the source for the next call.
+func (s *Selector) prefer() Candidate {
+	picked, _ := s.pick(nil)
+	if picked.Name != s.current {
+		s.Log.WithFields(log.Fields{"from": picked.Name, "former": s.current}).Info("reading entries from another source")
+		s.current = picked.Name
 	}
-	s.recordFailure(candidate.Name, began, err)
-	return batch, err
+	return picked
 }
 
-// pick returns the first candidate that is not avoided, or else the one whose
-// avoidance ends first. Once all candidates have failed, every second call goes to
-// the preferred one: when the store returns from an outage, entries reach the
-// hosts from the store down, along the preferred candidates.
-func (s *Selector) pick() Candidate {
+// pick returns the first candidate outside exclude that is not avoided, or else the
+// one whose avoidance ends first; false if all are excluded. Once all candidates have
+// failed, every second call goes to the preferred one: when the store returns from
+// an outage, entries reach the hosts from the store down, along the preferred
+// candidates.
+func (s *Selector) pick(exclude []string) (Candidate, bool) {
 	now := s.Timer.Now()
 	order := s.Order()
-	if s.misses >= len(order) && s.misses%2 == 0 {
+	if s.misses >= len(order) && s.misses%2 == 0 && len(exclude) == 0 {
 		order = order[:1]
 	}
 	var picked Candidate
 	for _, c := range order {
+		if slices.Contains(exclude, c.Name) {
+			continue
+		}
 		until := s.avoided[c.Name].until
 		if !now.Before(until) {
-			picked = c
-			break
+			return c, true
 		}
 		if picked.Name == "" || until.Before(s.avoided[picked.Name].until) {
 			picked = c
 		}
 	}
-	if picked.Name != s.current {
-		s.Log.WithFields(log.Fields{"from": picked.Name, "former": s.current}).Info("reading entries from another source")
-		s.current = picked.Name
+	return picked, picked.Name != ""
+}
+
+// recordSuccess records a good answer of a source.
+func (s *Selector) recordSuccess(name string, hops int) {
+	delete(s.avoided, name)
+	delete(s.overdue, name)
+	s.lastGood, s.lastGoodHops, s.misses = name, hops, 0
+}
+
+// recordOverdue records that the answer to a call is overdue. It reports whether the
+// source should be called again at once, since only the connection may be silent.
+func (s *Selector) recordOverdue(call *sourceCall) bool {
+	name := call.candidate.Name
+	if !call.kept || s.overdue[name] {
+		s.recordFailure(name, call.began, errOverdue)
+		return false
 	}
-	return picked
+	if s.overdue == nil {
+		s.overdue = make(map[string]bool)
+	}
+	s.overdue[name] = true
+	return true
 }
 
 func (s *Selector) recordFailure(name string, began time.Time, err error) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,6 +39,7 @@
 		case <-wait.C:
 			s.injectFault(&wg)
 			s.injectPeerFault(&wg)
+			s.injectSilence()
 			s.injectRestore(&wg)
 		case <-ctx.Done():
 			wait.Stop()
@@ -112,6 +113,21 @@
 	r.injectConnFault(wg, r.peerProxies[r.peerRandom.IntN(len(r.peerProxies))], connFaults[r.peerRandom.IntN(len(connFaults))], duration)
 }
 
+// faultsPerSilence is the average number of faults for each silence.
+const faultsPerSilence = 8
+
+// injectSilence occasionally makes all open connections of the hosts to the store
+// and to each other silent.
+func (r *Soak) injectSilence() {
+	if r.silenceRandom.IntN(faultsPerSilence) > 0 {
+		return
+	}
+	r.extendDisturbance(0)
+	for _, p := range append(slices.Clone(r.peerProxies), r.proxies[len(r.proxies)-1]) {
+		p.Silence()
+	}
+}
+
 // extendDisturbance suspends the checks of drain times until settleTime after a
 // disturbance of the given duration that begins now.
 func (r *Soak) extendDisturbance(duration time.Duration) {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -26,9 +26,10 @@
 	listener net.Listener
 	udp      *net.UDPConn // nil if the proxy forwards only connections
 
-	mu    sync.Mutex
-	fault ConnFault
-	conns map[*net.TCPConn]bool
+	mu     sync.Mutex
+	fault  ConnFault
+	conns  map[*net.TCPConn]bool
+	silent map[*net.TCPConn]bool // those that forward nothing more
 }
 
 // NewProxy starts a proxy on a free loopback port that forwards to an ip:port.
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, conns: make(map[*net.TCPConn]bool)}
+	p := &Proxy{target: target, listener: l, conns: make(map[*net.TCPConn]bool), silent: make(map[*net.TCPConn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -103,6 +104,22 @@
 	}
 }
 
+// Silence makes the open connections forward nothing more. They stay open, and new
+// ones work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = true
+	}
+}
+
+func (p *Proxy) isSilent(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -159,6 +176,8 @@
 	p.mu.Lock()
 	delete(p.conns, caller)
 	delete(p.conns, target)
+	delete(p.silent, caller)
+	delete(p.silent, target)
 	p.mu.Unlock()
 	_ = caller.Close()
 	_ = target.Close()
@@ -173,7 +192,7 @@
 		if fault.Delay > 0 {
 			clock.Sleep(time.Duration(rand.Int64N(int64(fault.Delay))))
 		}
-		if n > 0 && !fault.DropAll && (!toCaller || !fault.DropReplies) {
+		if n > 0 && !p.isSilent(src) && !fault.DropAll && (!toCaller || !fault.DropReplies) {
 			if _, e := dst.Write(buffer[:n]); e != nil {
 				err = e
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,8 @@
 	random      *rand.Rand
 	peerRandom  *rand.Rand // separate generator for faults between hosts
 	storeRandom *rand.Rand // separate generator for restores of the store
+	// separate generator for the moments at which all connections become silent
+	silenceRandom *rand.Rand
 	proxies     []*Proxy   // one for each target, in their order, then one for the store
 	peerProxies []*Proxy   // one for each host, at its address for other hosts
 
@@ -68,6 +70,7 @@
 // Run runs all steps. The error joins every violation of a guarantee.
 func (r *Soak) Run(ctx context.Context) error {
 	r.random, r.peerRandom = rand.New(rand.NewPCG(r.Seed, 11)), rand.New(rand.NewPCG(r.Seed, 12))
+	r.silenceRandom = rand.New(rand.NewPCG(r.Seed, 14))
 	r.storeRandom, r.version = rand.New(rand.NewPCG(r.Seed, 13)), firstVersion-1
 	r.answerCounts, r.notRun = make(map[int]int), make(map[string]bool)
 	r.restarting = make(map[*standin.Process]bool)
