feat(reach): hosts find out that they are cut off from targets

A host that reaches no target counted that against each target: it could not tell its own cut from targets that are down.

When three targets of a zone fail here, the host tries to connect to three random ones of the zone, and asks three other hosts to connect to the same ones at the same time. It is cut off if it reaches none and another host most of them. Then the other zones are tested as well. Hosts tell each other by membership whether they are cut off from the targets of their own zone, or from all.

Nothing is passed on yet; targets behind a cut are left out where a service has others.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,6 +56,7 @@
 	inFlight     map[uint64]time.Time // start times by request ID
 	failures     int                  // consecutive
 	backoffUntil time.Time            // the target is avoided until then
+	failedAt     time.Time            // time of the latest failure
 }
 
 // Balancer chooses targets by the latency and the failures that this host has
@@ -110,9 +111,35 @@
 	s.observeFailure(now, 1)
 	backoff := min(initialBackoff<<min(s.failures, 10), maxBackoff)
 	s.failures++
+	s.failedAt = now
 	s.backoffUntil = now.Add(backoff)
 }
 
+// Failing reports whether a target has failed at its latest request within window, or
+// has left one unanswered for longer than patience.
+func (b *Balancer) Failing(now time.Time, id magnoliashore.TargetID, window, patience time.Duration) bool {
+	s, ok := b.targets[id]
+	if !ok {
+		return false
+	}
+	if s.failures > 0 && now.Sub(s.failedAt) < window {
+		return true
+	}
+	for _, since := range s.inFlight {
+		if now.Sub(since) > patience {
+			return true
+		}
+	}
+	return false
+}
+
+// Forget removes the measurements of a target, which the path to it has spoiled.
+func (b *Balancer) Forget(id magnoliashore.TargetID) {
+	if s, ok := b.targets[id]; ok {
+		*s = targetStats{inFlight: s.inFlight}
+	}
+}
+
 // Abandon records that a request ended for a reason unrelated to its target,
 // took after its start. If that is longer than expected, the request counts with
 // the latency that it would probably have had.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -226,3 +226,37 @@
 		}
 	}
 }
+
+// TestFailingTargets checks which targets count as failing: the latest request failed a
+// short time ago, or one is without an answer for long.
+func TestFailingTargets(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	b := &balance.Balancer{Zone: "a"}
+	target := catalog.NewTarget(catalog.TargetSpec{ID: "t", Zone: "a"})
+	want := func(what string, failing bool) {
+		t.Helper()
+		if got := b.Failing(now, "t", time.Second, 300*time.Millisecond); got != failing {
+			t.Errorf("%s: got failing %t, want %t", what, got, failing)
+		}
+	}
+	want("no request yet", false)
+	first := b.Start(now, target, "k")
+	now = now.Add(200 * time.Millisecond)
+	want("waiting", false)
+	now = now.Add(200 * time.Millisecond)
+	want("waiting for long", true)
+	b.Complete(now, first, 400*time.Millisecond)
+	want("answered", false)
+	b.Fail(now, b.Start(now, target, "k"))
+	want("failed", true)
+	now = now.Add(1100 * time.Millisecond)
+	want("failed some time ago", false)
+	b.Fail(now, b.Start(now, target, "k"))
+	cost := b.Cost(now, target, "k")
+	b.Forget("t")
+	want("forgotten", false)
+	if got := b.Cost(now, target, "k"); got >= cost || got != 1 {
+		t.Errorf("got cost %v of a forgotten target after %v, want that of one that was never measured", got, cost)
+	}
+}
--- a/catalog/target.go
+++ b/catalog/target.go
@@ -69,7 +69,8 @@
 type View struct {
 	config  *Config
 	targets map[magnoliashore.ServiceName][]*Target
-	ids     map[magnoliashore.TargetID]bool
+	byID    map[magnoliashore.TargetID]*Target
+	byZone  map[magnoliashore.ZoneName][]*Target
 }
 
 // NewView returns a view of config and targets; config may be nil.
@@ -77,10 +78,12 @@
 	v := &View{
 		config:  config,
 		targets: make(map[magnoliashore.ServiceName][]*Target),
-		ids:     make(map[magnoliashore.TargetID]bool, len(targets)),
+		byID:    make(map[magnoliashore.TargetID]*Target, len(targets)),
+		byZone:  make(map[magnoliashore.ZoneName][]*Target),
 	}
 	for _, t := range targets {
-		v.ids[t.ID()] = true
+		v.byID[t.ID()] = t
+		v.byZone[t.Zone()] = append(v.byZone[t.Zone()], t)
 		v.targets[t.Service()] = append(v.targets[t.Service()], t)
 	}
 	return v
@@ -93,4 +96,10 @@
 func (v *View) Targets(service magnoliashore.ServiceName) []*Target { return v.targets[service] }
 
 // Has reports whether a target may get requests.
-func (v *View) Has(id magnoliashore.TargetID) bool { return v.ids[id] }
+func (v *View) Has(id magnoliashore.TargetID) bool { return v.byID[id] != nil }
+
+// Target returns a target that may get requests, or nil.
+func (v *View) Target(id magnoliashore.TargetID) *Target { return v.byID[id] }
+
+// Zones returns the targets that may get requests, by availability zone.
+func (v *View) Zones() map[magnoliashore.ZoneName][]*Target { return v.byZone }
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/quota"
+	"github.com/magnoliashore/magnoliashore/reach"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
 	"github.com/magnoliashore/magnoliashore/scatter"
@@ -46,6 +47,13 @@
 	Rank(id magnoliashore.TargetID) int
 	// HostCount returns the number of hosts that share limits, including this one.
 	HostCount() int
+	// Fellows returns the hosts that may take whole requests of this one, in order of
+	// preference.
+	Fellows() []string
+	// Confirm records that a host reaches targets that this one does not.
+	Confirm(peer string)
+	// RecordHelp records whether a host has answered a batch or a request.
+	RecordHelp(peer string, ok bool)
 	// Sharing describes the hosts that share the rates of targets.
 	Sharing() quota.Sharing
 }
@@ -66,6 +74,9 @@
 	ColdLimiter *admit.ColdLimiter
 	limits      admit.NamedLimits
 	quotas      quota.Holder
+	reach       reach.Detector
+	lastAnswers map[magnoliashore.ZoneName]time.Time // latest answers of targets, by zone
+	cutBegan    chan struct{}                        // closed when the next cut is found; nil if nobody waits
 
 	endings      endings
 	suspects     suspects
@@ -99,7 +110,7 @@
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
 	rate := coldRequestRate(view, service)
-	t := e.chooseBelowLimit(now, e.acceptingTargets(now, view.Targets(service), rate), q.kind, exclude)
+	t := e.chooseBelowLimit(now, e.acceptingTargets(now, e.reachableTargets(view.Targets(service)), rate), q.kind, exclude)
 	if t == nil {
 		return attempt{}, false
 	}
@@ -183,6 +194,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.Timer.Now()
+	if result.Status != 0 {
+		e.recordAnswer(now, a.target.Zone())
+	}
 	switch {
 	case result.Status != 0 && result.Status < 500 && !result.Reply.NotRun:
 		e.Balancer.Complete(now, a.inFlight, result.Took)
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -31,6 +31,9 @@
 func (noHosts) Capacity() int                                        { return 100 }
 func (noHosts) HostCount() int                                       { return 1 }
 func (noHosts) Rank(magnoliashore.TargetID) int                      { return 0 }
+func (noHosts) Fellows() []string                                    { return nil }
+func (noHosts) Confirm(string)                                       {}
+func (noHosts) RecordHelp(string, bool)                              {}
 func (noHosts) Sharing() quota.Sharing                               { return quota.Sharing{Hosts: 1, Running: 1} }
 
 func testEngine(view *catalog.View, limit retry.Limit) *Engine {
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -75,6 +75,8 @@
 	// they reach it through a forwarder at Settings.Peer. If it is empty, the
 	// host listens at Settings.Peer.
 	PeerListen string
+	// DialTarget opens connections to targets; nil for TCP.
+	DialTarget origin.DialFunc
 
 	settings atomic.Pointer[Settings] // current settings
 
@@ -88,6 +90,7 @@
 	hosts     *hosts
 	engine    *Engine
 	notices   *notices
+	reach     *reachability
 	callers   *callerServer
 	stopBegan atomic.Int64 // start of the shutdown in nanoseconds since started; zero before it
 	started   time.Time
@@ -110,6 +113,7 @@
 	group.Go(func() error { return h.reader.Run(work) })
 	group.Go(func() error { return h.members.Run(work) })
 	group.Go(func() error { h.notices.run(work); return nil })
+	group.Go(func() error { h.reach.run(work); return nil })
 	group.Go(func() error { return h.callers.run(listeners[0]) })
 	for i, handler := range h.handlers() {
 		group.Go(func() error { return serve(work, listeners[i+1], handler) })
@@ -143,6 +147,7 @@
 	h.hosts = &hosts{
 		self: membership.NewMember(self), timer: h.Timer, log: h.Log,
 		links: make(map[string]*relay.Link), lastSeen: make(map[string]time.Time),
+		help: make(map[string]*helpRecord), confirmed: make(map[string]time.Time),
 	}
 	h.hosts.update([]membership.Member{membership.NewMember(self)})
 	h.members = &membership.Node{
@@ -167,7 +172,7 @@
 	h.Metrics.observeEntries(h.reader)
 	h.engine = &Engine{
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.Metrics,
-		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes},
+		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes, Dial: h.DialTarget},
 		Balancer:    &balance.Balancer{Zone: s.Zone, Random: newRandom()},
 		Budget:      &retry.Budget{Limit: s.Retries},
 		ColdLimiter: &admit.ColdLimiter{Limit: s.Cold},
@@ -178,6 +183,12 @@
 		bytes: admit.NewBucket(h.Timer.Now(), maxRecordBurst),
 		peers: h.hosts.Peers, joined: h.joined, inbox: ring.New[notice.Message](noticeInboxSize),
 	}
+	h.reach = &reachability{
+		engine: h.engine, zone: s.Zone, peers: h.hosts.Fellows, setCut: h.members.SetCut, timer: h.Timer, log: h.Log,
+		send:  func(peer string, m notice.Message) { h.notices.send(peer, m) },
+		inbox: ring.New[testEvent](reachInboxSize), served: admit.NewBucket(h.Timer.Now(), maxTestBurst),
+	}
+	h.notices.reach = h.reach
 	h.engine.suspects.due = make(chan struct{}, 1)
 	h.callers = &callerServer{handler: &Handler{
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Splitter: &balance.Splitter{}, Log: h.Log,
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -49,6 +49,14 @@
 	lastChanged time.Time            // when the members last changed
 	started     time.Time            // start of this host
 	lastJoined  time.Time            // when a member was last added
+	help        map[string]*helpRecord
+	confirmed   map[string]time.Time // by peer address: when a host was last known to reach targets
+}
+
+// helpRecord is how a host has answered the batches and requests of this one.
+type helpRecord struct {
+	failures     int // in a row
+	avoidedUntil time.Time
 }
 
 var _ Hosts = (*hosts)(nil)
@@ -75,6 +83,12 @@
 			h.links[peer].Connect()
 		}
 	}
+	for peer := range h.help {
+		if !slices.ContainsFunc(members, func(m membership.Member) bool { return m.Peer() == peer }) {
+			delete(h.help, peer)
+			delete(h.confirmed, peer)
+		}
+	}
 	for peer, link := range h.links {
 		runs := slices.ContainsFunc(members, func(m membership.Member) bool { return m.Peer() == peer })
 		if !runs {
@@ -167,6 +181,100 @@
 	return true
 }
 
+const (
+	// Failures in a row from which a host is avoided, how long it is avoided first,
+	// doubled with each further failure, and at most.
+	helpFailures = 2
+	minHelpPause = 250 * time.Millisecond
+	maxHelpPause = 2 * time.Second
+	// How long a host that is known to reach targets is preferred for whole requests:
+	// until all hosts that do not have said so.
+	confirmedPeriod = 2 * time.Second
+	// Factor on the chance of hosts of the own zone to get whole requests.
+	ownZonePreference = 2
+)
+
+// avoided reports whether a host has not answered lately. The caller holds mu.
+func (h *hosts) avoided(peer string) bool {
+	record, ok := h.help[peer]
+	return ok && h.timer.Now().Before(record.avoidedUntil)
+}
+
+// RecordHelp records whether a host has answered a batch or a request. A host that
+// fails repeatedly is avoided for a time, whatever the reason.
+func (h *hosts) RecordHelp(peer string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ok {
+		delete(h.help, peer)
+		return
+	}
+	record := h.help[peer]
+	if record == nil {
+		record = &helpRecord{}
+		h.help[peer] = record
+	}
+	record.failures++
+	if over := record.failures - helpFailures; over >= 0 {
+		pause := min(minHelpPause<<min(over, 10), maxHelpPause)
+		record.avoidedUntil = h.timer.Now().Add(pause)
+		h.log.WithFields(log.Fields{"peer": peer, "failures": record.failures, "pause": pause.String()}).Info("host does not answer; it gets no work for a time")
+	}
+}
+
+// Confirm records that a host reaches targets that this one does not.
+func (h *hosts) Confirm(peer string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirmed[peer] = h.timer.Now()
+}
+
+// Fellows returns the hosts that may take whole requests of this one, in random order
+// weighted by their cores. Those that were just found to reach targets come first.
+func (h *hosts) Fellows() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.timer.Now()
+	keys := make(map[string]float64)
+	var fellows []string
+	for _, m := range h.sample() {
+		if m.Peer() == h.self.Peer() || m.State() != membership.Alive || m.Cut() || h.avoided(m.Peer()) {
+			continue
+		}
+		key := rand.ExpFloat64() / cores(m)
+		if m.Zone() == h.self.Zone() {
+			key /= ownZonePreference
+		}
+		if at, ok := h.confirmed[m.Peer()]; !ok || now.Sub(at) > confirmedPeriod {
+			key += unconfirmedPenalty
+		}
+		keys[m.Peer()] = key
+		fellows = append(fellows, m.Peer())
+	}
+	slices.SortFunc(fellows, func(a, b string) int { return cmp.Compare(keys[a], keys[b]) })
+	return fellows
+}
+
+// sample returns the members, or some at random if there are many. The caller holds mu.
+func (h *hosts) sample() []membership.Member {
+	if len(h.members) <= maxSampledHosts {
+		return h.members
+	}
+	sampled := make([]membership.Member, 0, maxSampledHosts)
+	start := rand.IntN(len(h.members))
+	stride := len(h.members) / maxSampledHosts
+	for i := range maxSampledHosts {
+		sampled = append(sampled, h.members[(start+i*stride)%len(h.members)])
+	}
+	return sampled
+}
+
+// maxSampledHosts bounds the work for a choice among the hosts of a large fleet.
+const maxSampledHosts = 64
+
+// unconfirmedPenalty puts hosts behind all that were just found to reach targets.
+const unconfirmedPenalty = 1e6
+
 // Rank returns the position of this host in the order of hosts for a target.
 func (h *hosts) Rank(id magnoliashore.TargetID) int {
 	h.mu.Lock()
--- /dev/null
+++ b/gateway/hosts_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/membership"
+	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/timer"
+)
+
+func cutMember(peer string, zone magnoliashore.ZoneName) membership.Member {
+	return membership.NewMember(membership.MemberSpec{Peer: peer, Caller: "c" + peer, Zone: zone, Cut: true})
+}
+
+func newTestHosts(members ...membership.Member) *hosts {
+	h := &hosts{
+		self: members[0], timer: &timer.Service{}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		links: make(map[string]*relay.Link), lastSeen: make(map[string]time.Time),
+		help: make(map[string]*helpRecord), confirmed: make(map[string]time.Time),
+	}
+	h.update(members)
+	return h
+}
+
+// TestFellowsReachTargets checks that whole requests go to hosts that are not cut off,
+// and first to those that were found to reach targets.
+func TestFellowsReachTargets(t *testing.T) {
+	t.Parallel()
+	h := newTestHosts(
+		member("127.0.0.1:1", "a", 0), cutMember("127.0.0.1:2", "a"), member("127.0.0.1:3", "a", 0), member("127.0.0.1:4", "b", 0),
+		member("127.0.0.1:5", "b", membership.Leaving), member("127.0.0.1:6", "b", membership.Suspect),
+	)
+	h.Confirm("127.0.0.1:4")
+	for range 20 {
+		if got, want := h.Fellows(), []string{"127.0.0.1:4", "127.0.0.1:3"}; !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	}
+}
+
+// TestChoiceOfFellowsIsBounded checks that a host of a large fleet looks at a part of it
+// for one request, and at another part for the next one.
+func TestChoiceOfFellowsIsBounded(t *testing.T) {
+	t.Parallel()
+	h := newTestHosts(member("127.0.0.1:1", "a", 0))
+	h.members = slices.Repeat([]membership.Member{member("127.0.0.1:2", "a", 0), member("127.0.0.1:3", "b", 0)}, 1000)
+	if got := len(h.Fellows()); got == 0 || got > maxSampledHosts {
+		t.Errorf("got %d fellows of 2000 hosts, want 1 to %d", got, maxSampledHosts)
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,12 @@
 	suspectsCleared *metrics.Counter
 	noticesDropped  *metrics.Counter // notices of other hosts that found a full queue
 
+	cuts            *metrics.Counter // times that this host was cut off from the targets of a zone
+	forwarded       *metrics.Counter // requests that other hosts ran for this one
+	forwardedFailed *metrics.Counter // of these, without an answer
+	helped          *metrics.Counter // requests that this host ran for others
+	helpRefused     *metrics.Counter // those that it refused to
+
 	observations        *metrics.Counter // received from other hosts
 	observationsDropped *metrics.Counter
 }
@@ -70,6 +76,12 @@
 		suspectsCleared: s.NewCounter("magnoliashore_gateway_suspects_cleared_total"),
 		noticesDropped:  s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
 
+		cuts:            s.NewCounter("magnoliashore_gateway_cuts_total"),
+		forwarded:       s.NewCounter("magnoliashore_gateway_forwarded_total"),
+		forwardedFailed: s.NewCounter("magnoliashore_gateway_forwarded_failed_total"),
+		helped:          s.NewCounter("magnoliashore_gateway_helped_total"),
+		helpRefused:     s.NewCounter("magnoliashore_gateway_help_refused_total"),
+
 		observations:        s.NewCounter("magnoliashore_gateway_observations_total"),
 		observationsDropped: s.NewCounter("magnoliashore_gateway_observations_dropped_total"),
 	}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -55,6 +55,7 @@
 	log    log.Interface
 
 	inbox *ring.Ring[notice.Message]
+	reach *reachability
 
 	// Used by the goroutine of run only.
 	leases quota.Issuer
@@ -135,6 +136,12 @@
 		n.engine.acceptGrant(g, m.From)
 	}
 	n.engine.mergeSuspects(m.Records, m.From)
+	for _, t := range m.Tests {
+		n.reach.serveTest(m.From, t)
+	}
+	for _, r := range m.Results {
+		n.reach.receive(m.From, r)
+	}
 	if m.Ask {
 		n.sendRecords([]string{m.From}, n.engine.suspects.worst(n.timer.Now(), recordsPerAnswer))
 	}
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -23,6 +23,7 @@
 	Incarnation uint64
 	State       int
 	Cores       float32
+	Cut         bool
 }
 
 type wireMessage struct {
@@ -90,7 +91,7 @@
 	}
 	return wireMember{
 		Host: string(m.Host()), Zone: string(m.Zone()), Peer: peer, Caller: caller,
-		Incarnation: uint64(m.Incarnation()), State: int(m.State()), Cores: float32(m.Cores()),
+		Incarnation: uint64(m.Incarnation()), State: int(m.State()), Cores: float32(m.Cores()), Cut: m.Cut(),
 	}, nil
 }
 
@@ -125,6 +126,6 @@
 	return NewMember(MemberSpec{
 		Host: magnoliashore.HostID(w.Host), Zone: magnoliashore.ZoneName(w.Zone), Peer: peer, Caller: caller,
 		Incarnation: magnoliashore.Incarnation(w.Incarnation), State: State(w.State),
-		Cores: float64(w.Cores),
+		Cores: float64(w.Cores), Cut: w.Cut,
 	}), nil
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -37,6 +37,7 @@
 	Incarnation magnoliashore.Incarnation
 	State       State
 	Cores       float64 // available processor time
+	Cut         bool    // does not reach the targets of its availability zone, or any
 }
 
 // Member describes one host.
@@ -68,6 +69,10 @@
 // Cores returns the available processor time of the host, in cores.
 func (m Member) Cores() float64 { return m.spec.Cores }
 
+// Cut reports whether the host has found that it does not reach the targets of its
+// availability zone, or any.
+func (m Member) Cut() bool { return m.spec.Cut }
+
 // Runs reports whether the host is not dead.
 func (m Member) Runs() bool { return m.spec.State != Dead }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -38,6 +38,7 @@
 
 	members atomic.Pointer[[]Member]
 	leave   chan struct{}
+	cut     chan bool
 	seeds   chan []string
 	leaving atomic.Bool
 	logged  map[string]Member
@@ -56,6 +57,7 @@
 func (n *Node) Listen() error {
 	n.leave = make(chan struct{}, 1)
 	n.seeds = make(chan []string, 1)
+	n.cut = make(chan bool, 1)
 	listen := n.Address
 	if listen == "" {
 		listen = n.Protocol.Self.Peer
@@ -75,6 +77,15 @@
 	}
 }
 
+// SetCut announces whether this host is cut off from targets.
+func (n *Node) SetCut(cut bool) {
+	select {
+	case <-n.cut: // discard an older value that Run has not read yet
+	default:
+	}
+	n.cut <- cut
+}
+
 // SetSeeds replaces the hosts to join by.
 func (n *Node) SetSeeds(seeds []string) {
 	select {
@@ -113,6 +124,8 @@
 			}
 		case seeds := <-n.seeds:
 			n.Protocol.Seeds = seeds
+		case cut := <-n.cut:
+			n.send(n.Protocol.SetCut(cut))
 		case <-n.leave:
 			n.send(n.Protocol.Leave())
 		}
@@ -216,7 +229,7 @@
 
 func (n *Node) logMember(m Member, state string) {
 	n.Log.WithFields(log.Fields{
-		"peer": m.Peer(), "member": string(m.Host()), "incarnation": uint64(m.Incarnation()), "state": state,
+		"peer": m.Peer(), "member": string(m.Host()), "incarnation": uint64(m.Incarnation()), "state": state, "cut": m.Cut(),
 	}).Info("member changed")
 }
 
--- a/membership/protocol.go
+++ b/membership/protocol.go
@@ -15,7 +15,7 @@
 	localPerRemote   = 3  // in a large zone, hosts of the own zone per host of other zones in a probe round
 	suspendedTicks   = 4  // missed ticks in a row that indicate that this process was suspended
 	joinInterval     = 5  // ticks between two Joins to a seed or a dead host; a host without peers sends one each tick
-	maxLeaveMessages = 16 // hosts that are notified directly when this host leaves
+	maxAnnouncements = 16 // hosts that are told directly when this host leaves or is cut off
 	maxUrgent        = 4  // hosts that are probed ahead of the current round
 	urgentSamples    = 8  // hosts sampled to find one of a given zone
 
@@ -102,10 +102,26 @@
 // Leave announces that this host accepts no more callers.
 func (pr *Protocol) Leave() []Packet {
 	pr.Self.State = Leaving
+	return pr.announce()
+}
+
+// SetCut announces whether this host is cut off from targets.
+func (pr *Protocol) SetCut(cut bool) []Packet {
+	if pr.Self.Cut == cut {
+		return nil
+	}
+	pr.Self.Cut = cut
+	pr.Self.Incarnation++ // overrides what others know of this host
+	return pr.announce()
+}
+
+// announce gossips the state of this host, and tells some hosts at once.
+func (pr *Protocol) announce() []Packet {
+	pr.initPeers()
 	pr.enqueue(pr.Self.Peer)
 	var packets []Packet
 	for _, p := range pr.peers {
-		if p.member.Runs() && len(packets) < maxLeaveMessages {
+		if p.member.Runs() && len(packets) < maxAnnouncements {
 			packets = append(packets, pr.newPing(p.member.Peer()))
 		}
 	}
--- a/membership/protocol_test.go
+++ b/membership/protocol_test.go
@@ -233,6 +233,34 @@
 	c.wantServing(t, "after it left", want)
 }
 
+// TestCutIsKnownEverywhere has a host announce that it is cut off from targets, and that
+// it is not any more. All others know within two seconds, also if packets are lost, and
+// the host goes on serving.
+func TestCutIsKnownEverywhere(t *testing.T) {
+	t.Parallel()
+	c := newCluster(4, 60)
+	c.loss = 0.1
+	c.run(10 * time.Second)
+	for _, cut := range []bool{true, false} {
+		c.send(address(3), c.hosts[address(3)].SetCut(cut))
+		c.run(2 * time.Second)
+		unaware := 0
+		for _, host := range c.hosts {
+			for _, m := range host.Members() {
+				if m.Peer() == address(3) && (m.Cut() != cut || !m.Serves()) {
+					unaware++
+				}
+			}
+		}
+		if unaware > 0 {
+			t.Errorf("cut %t: got %d hosts that do not know, want none", cut, unaware)
+		}
+	}
+	if packets := c.hosts[address(3)].SetCut(false); packets != nil {
+		t.Errorf("got %d packets without a change, want none", len(packets))
+	}
+}
+
 // TestFrozenHostRefutes suspends a host until the others declare it dead.
 func TestFrozenHostRefutes(t *testing.T) {
 	t.Parallel()
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -25,6 +25,20 @@
 	// Records of suspicious requests. Their times are by the clock of the receiver.
 	Records []suspect.Record
 	Ask     bool // requests the records of the receiver
+	Tests   []Test
+	Results []TestResult
+}
+
+// Test asks a host to connect to targets.
+type Test struct {
+	Number  uint64 // identifies the test at the sender
+	Targets []magnoliashore.TargetID
+}
+
+// TestResult answers a Test.
+type TestResult struct {
+	Number  uint64
+	Reached int // targets that the host could connect to
 }
 
 type wireMessage struct {
@@ -34,6 +48,20 @@
 	Grants  []wireGrant
 	Records []wireRecord
 	Ask     bool
+	Tests   []wireTest
+	Results []wireTestResult
+}
+
+type wireTest struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Targets []string
+}
+
+type wireTestResult struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Reached int
 }
 
 // wireRecord holds the times of a record as ages.
@@ -82,6 +110,16 @@
 	for _, r := range m.Records {
 		w.Records = append(w.Records, encodeRecord(now, r))
 	}
+	for _, t := range m.Tests {
+		encoded := wireTest{Number: t.Number}
+		for _, id := range t.Targets {
+			encoded.Targets = append(encoded.Targets, string(id))
+		}
+		w.Tests = append(w.Tests, encoded)
+	}
+	for _, r := range m.Results {
+		w.Results = append(w.Results, wireTestResult{Number: r.Number, Reached: r.Reached})
+	}
 	data, err := cbor.Marshal(w)
 	return data, errors.Wrap(err, "encoding a notice")
 }
@@ -126,10 +164,17 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Message{}, errors.Wrap(err, "decoding a notice")
 	}
-	if n := max(len(w.Reports), len(w.Grants), len(w.Records)); n > maxItems {
+	if n := max(len(w.Reports), len(w.Grants), len(w.Records), len(w.Tests), len(w.Results)); n > maxItems {
 		return Message{}, errors.Newf("notice has %d items of one kind; at most %d are allowed", n, maxItems)
 	}
 	m := Message{From: w.From, Ask: w.Ask}
+	var err error
+	if m.Tests, err = decodeTests(w.Tests); err != nil {
+		return Message{}, err
+	}
+	for _, r := range w.Results {
+		m.Results = append(m.Results, TestResult{Number: r.Number, Reached: r.Reached})
+	}
 	for _, encoded := range w.Records {
 		r, err := decodeRecord(now, encoded)
 		if err != nil {
@@ -154,6 +199,24 @@
 	return m, nil
 }
 
+// maxTestTargets is the most targets of a test.
+const maxTestTargets = 4
+
+func decodeTests(list []wireTest) ([]Test, error) {
+	var tests []Test
+	for _, w := range list {
+		if len(w.Targets) > maxTestTargets {
+			return nil, errors.Newf("test of %d targets; at most %d are allowed", len(w.Targets), maxTestTargets)
+		}
+		t := Test{Number: w.Number}
+		for _, id := range w.Targets {
+			t.Targets = append(t.Targets, magnoliashore.TargetID(id))
+		}
+		tests = append(tests, t)
+	}
+	return tests, nil
+}
+
 // valid reports whether all rates are finite and not negative.
 func valid(rates ...float64) bool {
 	for _, rate := range rates {
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/notice"
 	"github.com/magnoliashore/magnoliashore/quota"
 	"github.com/magnoliashore/magnoliashore/suspect"
@@ -23,7 +24,9 @@
 			{Digest: suspect.Digest{1, 2}, Ends: []suspect.End{{Target: "t3", Process: 5, At: now.Add(-3 * time.Second)}}},
 			{Digest: suspect.Digest{3}, Cleared: now.Add(-time.Second), Tried: now.Add(-4 * time.Second)},
 		},
-		Ask: true,
+		Ask:     true,
+		Tests:   []notice.Test{{Number: 7, Targets: []magnoliashore.TargetID{"t1", "t4"}}},
+		Results: []notice.TestResult{{Number: 6, Reached: 3}},
 	}
 	data, err := notice.Encode(now, want)
 	if err != nil {
@@ -46,6 +49,8 @@
 		"share not a rate": {Grants: []quota.Grant{{Target: "t", Share: math.NaN()}}},
 		"too many":         {Grants: make([]quota.Grant, 100)},
 		"too many records": {Records: make([]suspect.Record, 100)},
+		"too many tests":   {Tests: make([]notice.Test, 100)},
+		"too many targets": {Tests: []notice.Test{{Targets: make([]magnoliashore.TargetID, 100)}}},
 		"too many ends":    {Records: []suspect.Record{{Ends: make([]suspect.End, 100)}}},
 	} {
 		data, err := notice.Encode(now, m)
--- a/origin/connlist.go
+++ b/origin/connlist.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -25,8 +24,8 @@
 
 // connList holds the connections to one target.
 type connList struct {
-	address string
-	dialer  *net.Dialer
+	address    string
+	dialTarget DialFunc
 
 	mu      sync.Mutex
 	idle    []*conn   // most recently used last
@@ -97,7 +96,7 @@
 
 // dial opens a connection that numOpen already counts.
 func (l *connList) dial(ctx context.Context) (*conn, error) {
-	c, err := l.dialer.DialContext(ctx, "tcp4", l.address)
+	c, err := l.dialTarget(ctx, "tcp4", l.address)
 	if err != nil {
 		l.release()
 		return nil, errors.Mark(errors.Wrapf(err, "connecting to %s", l.address), ErrConnect)
@@ -149,6 +148,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
+	l.closeIdle()
+}
+
+// dropIdle closes the idle connections.
+func (l *connList) dropIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeIdle()
+}
+
+// closeIdle closes the idle connections. The caller holds mu.
+func (l *connList) closeIdle() {
 	for _, c := range l.idle {
 		_ = c.Close()
 	}
--- a/origin/ended.go
+++ b/origin/ended.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
 )
 
@@ -21,7 +22,7 @@
 func (p *Pool) HasEnded(ctx context.Context, t *catalog.Target, maxConnections int) bool {
 	l := p.connsTo(t)
 	for range 2 {
-		raw, err := l.dialer.DialContext(ctx, "tcp4", l.address)
+		raw, err := l.dialTarget(ctx, "tcp4", l.address)
 		if err != nil {
 			return errors.Is(err, unix.ECONNREFUSED)
 		}
@@ -36,6 +37,26 @@
 	return false
 }
 
+// Connects reports whether a connection to a target opens, which it closes again.
+func (p *Pool) Connects(ctx context.Context, t *catalog.Target) bool {
+	c, err := p.dial()(ctx, "tcp4", t.Address())
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// DropIdle closes the idle connections to a target, which may be silent.
+func (p *Pool) DropIdle(id magnoliashore.TargetID) {
+	p.mu.Lock()
+	l, ok := p.conns[id]
+	p.mu.Unlock()
+	if ok {
+		l.dropIdle()
+	}
+}
+
 // adopt takes over a connection that was opened beside the others.
 func (l *connList) adopt(c *conn, now time.Time, maxOpen int) {
 	l.mu.Lock()
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -3,7 +3,9 @@
 package origin
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -86,11 +88,24 @@
 	// MaxBuffered is the number of bytes of an answer to buffer before it is
 	// streamed as a Tail, if the request allows one; zero disables streaming.
 	MaxBuffered int64
+	// Dial opens connections to targets; nil for TCP with the timeouts of this package.
+	Dial DialFunc
 
 	mu    sync.Mutex
 	conns map[magnoliashore.TargetID]*connList
 }
 
+// DialFunc opens a connection to an ip:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dial returns the function that opens connections to targets.
+func (p *Pool) dial() DialFunc {
+	if p.Dial != nil {
+		return p.Dial
+	}
+	return tcp.Dialer(dialTimeout, userTimeout).DialContext
+}
+
 // connsTo returns the connections to a target. If its address has changed, the
 // connections to the old address are retired.
 func (p *Pool) connsTo(t *catalog.Target) *connList {
@@ -106,7 +121,7 @@
 	if ok {
 		l.retire()
 	}
-	l = &connList{address: t.Address(), dialer: tcp.Dialer(dialTimeout, userTimeout)}
+	l = &connList{address: t.Address(), dialTarget: p.dial()}
 	p.conns[t.ID()] = l
 	return l
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,8 +42,8 @@
 	storeRandom *rand.Rand // separate generator for restores of the store
 	// separate generator for the moments at which all connections become silent
 	silenceRandom *rand.Rand
-	proxies     []*Proxy   // one for each target, in their order, then one for the store
-	peerProxies []*Proxy   // one for each host, at its address for other hosts
+	proxies       []*Proxy // one for each target, in their order, then one for the store
+	peerProxies   []*Proxy // one for each host, at its address for other hosts
 
 	copies []standin.Copy // of the store, the latest one last
 
