fix(gateway): requests of a host without targets are run by another host

Cause: a request to one service, and every query over the shards of the own zone, went to the targets from the host that received it. There was no way to hand it to another one.

A host that is cut off from the targets of too many services of a request now passes the whole request to a host that is not, over HTTP beside the batches: with body, identity, and the time that is left. One hop only. It goes on to a second host only if the first certainly has not run it; a request is a POST there, so that no HTTP client sends it twice. Limits, suspects, budgets and admission are those of the host that chooses the target. A host runs 64 such requests a core at once and refuses more; then, and with a body that is too long to be held, the caller gets 503 with a Retry-After at once. The answer is passed on as it is; one that breaks off breaks off at the caller.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
@@ -34,7 +35,10 @@
 	DataAge  func() time.Duration // time since the last data from the store
 	Refusing func() bool          // requests are refused, since this host stops soon
 
-	gates *gates
+	Forwarder *relay.Forwarder
+
+	gates     *gates
+	forwarded chan struct{} // holds one element per request of another host that runs
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -70,7 +74,11 @@
 		q.request.Stream = stream
 		q.params.AtMostOnce = true
 	}
-	h.serve(w, r, route, q)
+	if h.Engine.lacksTargets(q) {
+		h.forward(w, r, route, q)
+	} else {
+		h.serve(w, r, route, q)
+	}
 	if stream != nil && !stream.AtEOF() {
 		h.drainBody(w, r, stream)
 	}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -91,6 +91,7 @@
 	engine    *Engine
 	notices   *notices
 	reach     *reachability
+	handler   *Handler
 	callers   *callerServer
 	stopBegan atomic.Int64 // start of the shutdown in nanoseconds since started; zero before it
 	started   time.Time
@@ -190,12 +191,14 @@
 	}
 	h.notices.reach = h.reach
 	h.engine.suspects.due = make(chan struct{}, 1)
-	h.callers = &callerServer{handler: &Handler{
+	h.handler = &Handler{
+		Forwarder: relay.NewForwarder(), forwarded: make(chan struct{}, forwardedRequests(h.hosts.self)),
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Splitter: &balance.Splitter{}, Log: h.Log,
 		DataAge:  h.reader.Age,
 		Stopping: func() bool { return h.stoppingFor() > 0 },
 		Refusing: func() bool { return h.stoppingFor() > refuseAfter },
-	}}
+	}
+	h.callers = &callerServer{handler: h.handler}
 }
 
 // membersChanged receives the running members, this host first.
@@ -264,6 +267,7 @@
 func (h *Host) handlers() []http.Handler {
 	peers := http.NewServeMux()
 	peers.Handle(relay.Path, &relay.Server{Handle: h.engine.Batch, Timer: h.Timer, Log: h.Log})
+	peers.Handle(relay.ForwardPath, &relay.ForwardServer{Handle: h.handler.ServeForwarded, Log: h.Log})
 	peers.Handle(registry.Path, &registry.Server{Reader: h.reader})
 	handlers := []http.Handler{peers, h.Ready(h.ready), h.Directory(h.addresses)}
 	if h.Settings.Metrics != "" {
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -37,6 +37,7 @@
 	scatter     bool // the answer is merged from partial results
 	useHelpers  bool // other hosts may query shards in batches
 
+	forwarded bool        // another host has passed the request on
 	suspected bool        // targets have ended under the same request
 	trial     bool        // tries a request again that was refused
 	sent      atomic.Bool // an attempt was sent to a target
