fix(gateway): hosts that answer no batches get none for a time

Cause: a batch went to any host whose link and membership are fine. A batch that brought nothing counted against targets or nobody.

A batch without a partial result by the time of a partial answer now counts against its host: from two in a row on it gets no batches and no whole requests for 0.25 to 2 s, whatever the reason. Hosts that say that they are cut off get none at all, and return what still arrives as not requested.

TestHostsThatDoNotAnswerGetNoWork.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -15,6 +15,10 @@
 // PartialAfter and further ones as partial results arrive, until every shard has
 // an outcome.
 func (e *Engine) Batch(ctx context.Context, request relay.Request, reply func(relay.Result)) {
+	if e.cutOff(e.Zone) {
+		reply(relay.Result{Unsent: allShards(len(request.Shards)), Last: true})
+		return
+	}
 	now := e.Timer.Now()
 	e.adopt(request.Observations)
 	q := &query{
@@ -51,6 +55,14 @@
 	}
 }
 
+func allShards(count int) []int {
+	shards := make([]int, count)
+	for i := range shards {
+		shards[i] = i
+	}
+	return shards
+}
+
 // logBatch logs a batch with missing partial results. Complete batches appear in
 // the coordinator's log line.
 func (e *Engine) logBatch(request relay.Request, r *queryRun, outcome string) {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -13,6 +13,10 @@
 // batch is a set of shards that another host queries.
 type batch struct {
 	call    *relay.Call
+	peer    string
+	sent    time.Time
+	useful  bool         // a partial result has arrived
+	ended   bool         // no further result is expected
 	shards  []int        // indexes in the services of the query
 	pending map[int]bool // shards without an outcome
 }
@@ -119,7 +123,7 @@
 	if err != nil {
 		return false
 	}
-	sent := &batch{call: call, shards: b.Shards, pending: make(map[int]bool)}
+	sent := &batch{call: call, peer: b.Peer, sent: now, shards: b.Shards, pending: make(map[int]bool)}
 	for _, i := range b.Shards {
 		sent.pending[i] = true
 		r.progress.RecordDelegation(now, i)
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -171,7 +171,7 @@
 // takesBatches reports whether a member accepts batches. The caller holds mu.
 func (h *hosts) takesBatches(m membership.Member) bool {
 	link := h.links[m.Peer()]
-	if link == nil || m.State() != membership.Alive {
+	if link == nil || m.State() != membership.Alive || m.Cut() || h.avoided(m.Peer()) {
 		return false
 	}
 	if !link.Connected() {
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -28,6 +28,33 @@
 	return h
 }
 
+// TestHostsThatDoNotAnswerGetNoWork guards against hosts that get batches and requests
+// one after another and answer none, whatever the reason.
+func TestHostsThatDoNotAnswerGetNoWork(t *testing.T) {
+	t.Parallel()
+	h := newTestHosts(member("127.0.0.1:1", "a", 0), member("127.0.0.1:2", "a", 0), member("127.0.0.1:3", "b", 0))
+	want := func(what string, peers ...string) {
+		t.Helper()
+		got := h.Fellows()
+		slices.Sort(got)
+		if !slices.Equal(got, peers) {
+			t.Errorf("%s: got %v, want %v", what, got, peers)
+		}
+	}
+	want("at first", "127.0.0.1:2", "127.0.0.1:3")
+	h.RecordHelp("127.0.0.1:2", false)
+	want("after one failure", "127.0.0.1:2", "127.0.0.1:3")
+	h.RecordHelp("127.0.0.1:2", false)
+	want("after two failures", "127.0.0.1:3")
+	time.Sleep(minHelpPause + 10*time.Millisecond)
+	want("after the pause", "127.0.0.1:2", "127.0.0.1:3")
+	h.RecordHelp("127.0.0.1:2", false)
+	time.Sleep(minHelpPause + 10*time.Millisecond)
+	want("after another failure and a pause of the former length", "127.0.0.1:3")
+	h.RecordHelp("127.0.0.1:2", true)
+	want("after an answer", "127.0.0.1:2", "127.0.0.1:3")
+}
+
 // TestFellowsReachTargets checks that whole requests go to hosts that are not cut off,
 // and first to those that were found to reach targets.
 func TestFellowsReachTargets(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -110,9 +110,22 @@
 	r, cancel := e.start(ctx, q)
 	r.cancel = cancel
 	decision, ok := r.wait(ctx)
+	r.judgeHelpers()
 	return r, decision, ok
 }
 
+// judgeHelpers records which hosts have answered their batches. A host whose time for
+// a first result is not over yet is not judged.
+func (r *queryRun) judgeHelpers() {
+	now := r.engine.Timer.Now()
+	for _, b := range r.batches {
+		overdue := r.query.params.PartialAfter > 0 && now.Sub(b.sent) >= r.query.params.PartialAfter
+		if b.useful || b.ended || overdue {
+			r.engine.Hosts.RecordHelp(b.peer, b.useful)
+		}
+	}
+}
+
 // firstShard returns the query for a random one of the shards that have a target.
 func (q *query) firstShard(view *catalog.View) *query {
 	services := slices.DeleteFunc(slices.Clone(q.services), func(s magnoliashore.ServiceName) bool { return len(view.Targets(s)) == 0 })
@@ -293,10 +306,13 @@
 func (r *queryRun) handleBatch(ev event) {
 	b := ev.batch
 	if ev.closed {
+		b.ended = true
 		r.retryLostBatch(b)
 		return
 	}
 	r.engine.adopt(ev.batchResult.Observations)
+	b.useful = b.useful || len(ev.batchResult.Shards) > 0
+	b.ended = b.ended || ev.batchResult.Last
 	r.batchMedian = max(r.batchMedian, ev.batchResult.MedianLatency)
 	r.refused += ev.batchResult.Refused
 	if len(ev.batchResult.Shards) > 0 && b.allPending(ev.batchResult.Shards) {
