fix(gateway): directories leave out hosts without targets

Hosts that are cut off from targets are left out while at least half of the hosts are not. If most are, all are named: they pass requests on, and the connections of all callers do not end at the last few.

TestDirectoryLeavesOutHostsWithoutTargets.

--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -355,11 +355,21 @@
 }
 
 // callerAddresses returns the addresses for callers of a zone: those in the zone
-// if it has enough hosts, else all.
+// if it has enough hosts, else all. Hosts that are cut off from targets are left out
+// while at least half of the hosts are not.
 func callerAddresses(members []membership.Member, zone magnoliashore.ZoneName) []string {
+	serving, inTouch := 0, 0
+	for _, m := range members {
+		if m.Serves() {
+			serving++
+			if !m.Cut() {
+				inTouch++
+			}
+		}
+	}
 	var near, all []string
 	for _, m := range members {
-		if !m.Serves() {
+		if !m.Serves() || m.Cut() && 2*inTouch >= serving {
 			continue
 		}
 		all = append(all, m.Caller())
--- a/gateway/hosts_test.go
+++ b/gateway/hosts_test.go
@@ -18,6 +18,30 @@
 	return membership.NewMember(membership.MemberSpec{Peer: peer, Caller: "c" + peer, Zone: zone, Cut: true})
 }
 
+// TestDirectoryLeavesOutHostsWithoutTargets guards against callers that are sent to hosts
+// which cannot serve them, and against all callers at the last host that can.
+func TestDirectoryLeavesOutHostsWithoutTargets(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		members []membership.Member
+		want    []string // for callers in zone a
+	}{
+		{"none is cut off", []membership.Member{member("1", "a", 0), member("2", "a", 0), member("3", "b", 0)}, []string{"c1", "c2"}},
+		{"one of the zone is", []membership.Member{cutMember("1", "a"), member("2", "a", 0), member("3", "b", 0)}, []string{"c2", "c3"}},
+		{
+			"one of the zone is, and enough others are not",
+			[]membership.Member{cutMember("1", "a"), member("2", "a", 0), member("3", "a", 0), member("4", "b", 0)}, []string{"c2", "c3"},
+		},
+		{"most are", []membership.Member{cutMember("1", "a"), cutMember("2", "b"), member("3", "b", 0)}, []string{"c1", "c2", "c3"}},
+		{"all are", []membership.Member{cutMember("1", "a"), cutMember("2", "a")}, []string{"c1", "c2"}},
+	} {
+		if got := callerAddresses(test.members, "a"); !slices.Equal(got, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 func newTestHosts(members ...membership.Member) *hosts {
 	h := &hosts{
 		self: members[0], timer: &timer.Service{}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
