fix(gateway): failures behind a cut are not reported to other hosts

Cause: observations of slow and failing targets go to other hosts with batches, and the newer one wins.

Observations of a zone are held back from the moment at which several of its targets fail until a test has shown that this host can connect to one, and while it cannot.

--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -53,6 +54,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.reach.Calm() {
+		targets = slices.DeleteFunc(targets, func(t *catalog.Target) bool { return !e.reach.Reliable(t.Zone()) })
+	}
 	now := e.Timer.Now()
 	observations := e.Balancer.Report(now, targets)
 	return observations[:e.observations.take(now, len(observations))]
