fix(gateway): queries end when this host finds that it is cut off

Seen by callers: queries that ran when the cut began were answered 504 at the end of their time, up to 2 s after it was known that no target could answer; also those of other hosts with a batch at a cut host.

A query that may be repeated ends at once when this host finds itself cut off from the targets that it needs, unless targets there have answered within the last 0.3 s: connections that were open may go on working. If nothing of it was sent, another host runs it; else the answer is 502, and the caller can repeat it.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -80,6 +80,10 @@
 		r.progress.GiveUp(i)
 		return false
 	}
+	if r.ctx.Err() != nil {
+		r.progress.GiveUp(i)
+		return false
+	}
 	a, ok := r.engine.pick(r.query, r.query.services[i], r.tried[i], kind)
 	if !ok {
 		r.progress.GiveUp(i)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
@@ -119,6 +120,11 @@
 	}
 	run, decision, ok := h.Engine.run(r.Context(), q)
 	defer run.cancel()
+	if ok && decision == scatter.Fail && !q.forwarded && !run.progress.MayHaveRun() && h.Engine.lacksTargets(q) {
+		admitted.done(false)
+		h.forward(w, r, route, q)
+		return
+	}
 	admitted.done(ok && run.overloaded(h.Engine.Timer.Now(), route.Objective()))
 	took := h.Engine.Timer.Now().Sub(q.received)
 	if !ok {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -35,22 +35,24 @@
 
 // queryRun is the state of a query that runs on this host.
 type queryRun struct {
-	engine        *Engine
-	query         *query
-	progress      *scatter.Progress
-	ctx           context.Context // context of the attempts
-	cancel        context.CancelFunc
-	events        chan event
-	tried         [][]magnoliashore.TargetID // by shard: the targets of its attempts
-	reached       []bool                     // by shard: whether a failed attempt was sent
-	batches       []*batch
-	results       []mergedResult
-	unreported    int            // trailing elements of results that were not reported yet
-	reportAt      time.Time      // when to start reporting results; zero for never
-	lastAnswer    *origin.Result // latest answer that is not acceptable
-	answer        *origin.Result // answer of a query to one service
-	extraAttempts int            // retries and hedges
-	refused       int            // attempts refused by a target or a full queue
+	engine   *Engine
+	query    *query
+	progress *scatter.Progress
+	ctx      context.Context // context of the attempts
+	cancel   context.CancelFunc
+	// cancelAttempts ends the attempts, like cancel, also while the query runs.
+	cancelAttempts context.CancelFunc
+	events         chan event
+	tried          [][]magnoliashore.TargetID // by shard: the targets of its attempts
+	reached        []bool                     // by shard: whether a failed attempt was sent
+	batches        []*batch
+	results        []mergedResult
+	unreported     int            // trailing elements of results that were not reported yet
+	reportAt       time.Time      // when to start reporting results; zero for never
+	lastAnswer     *origin.Result // latest answer that is not acceptable
+	answer         *origin.Result // answer of a query to one service
+	extraAttempts  int            // retries and hedges
+	refused        int            // attempts refused by a target or a full queue
 
 	failures map[int]string // by shard: failure of the latest attempt
 
@@ -68,7 +70,7 @@
 	now := e.Timer.Now()
 	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r := &queryRun{
-		engine: e, query: q, progress: scatter.NewProgress(q.params, now), ctx: attempts,
+		engine: e, query: q, progress: scatter.NewProgress(q.params, now), ctx: attempts, cancelAttempts: cancel,
 		events:   make(chan event, len(q.services)*(q.params.MaxAttempts+eventsPerBatch)),
 		tried:    make([][]magnoliashore.TargetID, len(q.services)),
 		reached:  make([]bool, len(q.services)),
@@ -146,6 +148,7 @@
 // wait handles events until there is a decision or there are results to report.
 // It returns false if ctx ended because the caller left.
 func (r *queryRun) wait(ctx context.Context) (scatter.Decision, bool) {
+	cut := r.engine.nextCut()
 	for {
 		now := r.engine.Timer.Now()
 		for _, i := range r.progress.DueHedges(now) {
@@ -163,6 +166,13 @@
 		select {
 		case ev := <-r.events:
 			r.handle(ev)
+		case <-cut:
+			cut = r.engine.nextCut()
+			if !r.query.params.AtMostOnce && r.engine.silentFor(r.query) {
+				wake.Stop()
+				r.abort()
+				return scatter.Fail, true
+			}
 		case <-wake.C:
 		case <-ctx.Done():
 			wake.Stop()
@@ -173,6 +183,25 @@
 	}
 }
 
+// abort ends the attempts and waits for their outcomes, which tell whether any of them
+// may have run.
+func (r *queryRun) abort() {
+	r.cancelAttempts()
+	timeout := r.engine.Timer.After(abortTimeout)
+	defer timeout.Stop()
+	for r.progress.AnyInFlight() {
+		select {
+		case ev := <-r.events:
+			r.handle(ev)
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
+// abortTimeout is how long the outcomes of aborted attempts are waited for.
+const abortTimeout = 100 * time.Millisecond
+
 // reportDue reports whether there are results to report now.
 func (r *queryRun) reportDue(now time.Time) bool {
 	return !r.reportAt.IsZero() && r.unreported > 0 && !now.Before(r.reportAt)
--- a/scatter/progress.go
+++ b/scatter/progress.go
@@ -211,5 +211,15 @@
 // InFlight returns the number of attempts at a shard that are in flight.
 func (p *Progress) InFlight(i int) int { return p.shards[i].inFlight }
 
+// AnyInFlight reports whether any attempt is in flight that this host has made itself.
+func (p *Progress) AnyInFlight() bool {
+	for i := range p.shards {
+		if p.shards[i].inFlight > 0 && !p.shards[i].delegated {
+			return true
+		}
+	}
+	return false
+}
+
 // HasResult reports whether a partial result of a shard was received.
 func (p *Progress) HasResult(i int) bool { return p.shards[i].hasResult }
