fix(tcp): idle connections are probed after 5 s, whatever opened them

Cause: dialers and listeners set a user timeout, which counts only while data is unacknowledged, and left the probes at the defaults of the standard library: an idle connection that has become silent was closed after 30 s with a user timeout and after 150 s without one.

Probes now begin after 5 s, one a second. A silent idle connection is closed after 6 s with the user timeouts in use (80 ms to 1.5 s) and after 8 s without. The package for callers is not for Linux only and sets the same probes itself.

--- a/caller/client/transport.go
+++ b/caller/client/transport.go
@@ -12,7 +12,9 @@
 // Timeouts and limits of the connection pool.
 const (
 	dialTimeout    = 500 * time.Millisecond
-	keepAlive      = 5 * time.Second
+	probeIdle      = 5 * time.Second // idle time after which keep-alive probes begin
+	probeInterval  = time.Second
+	probeCount     = 3 // unanswered probes after which a connection is closed
 	maxIdlePerHost = 256
 	idleTimeout    = time.Minute // below the idle timeout of the entry host
 )
@@ -32,7 +34,10 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	// Package tcp is for Linux only, and this one is embedded elsewhere.
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
--- a/configservice/client.go
+++ b/configservice/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/tcp"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -46,7 +46,7 @@
 
 // sharedClient is the HTTP client of every Client without one of its own.
 var sharedClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: requestTimeout}).DialContext,
+	DialContext:         tcp.Dialer(requestTimeout, 0).DialContext,
 	MaxIdleConnsPerHost: maxIdleConns,
 	IdleConnTimeout:     idleTimeout,
 }}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -26,6 +26,7 @@
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/retry"
 	"github.com/magnoliashore/magnoliashore/ring"
+	"github.com/magnoliashore/magnoliashore/tcp"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -252,7 +253,7 @@
 		addresses = append(addresses, s.Metrics)
 	}
 	var listeners []net.Listener
-	var config net.ListenConfig
+	config := tcp.ListenConfig(0)
 	for _, address := range addresses {
 		l, err := config.Listen(ctx, "tcp4", address)
 		if err != nil {
--- a/httpd/httpd.go
+++ b/httpd/httpd.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
 // Server serves HTTP on one address. The zero value is ready to use.
@@ -24,7 +24,7 @@
 // connections, waits at most drain for the requests in flight, and closes the
 // remaining connections. It returns nil if all requests have finished.
 func (s *Server) Run(ctx context.Context, address string, server *http.Server, drain time.Duration) error {
-	var config net.ListenConfig
+	config := tcp.ListenConfig(0)
 	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return magnoliashore.Step(err, "listen", address)
--- a/peer/server.go
+++ b/peer/server.go
@@ -47,8 +47,7 @@
 
 // Listen binds the address, so that Addr is known before Run.
 func (s *Server) Listen(ctx context.Context) error {
-	config := net.ListenConfig{Control: tcp.Control(userTimeout)}
-	listener, err := config.Listen(ctx, "tcp", s.Address)
+	listener, err := tcp.ListenConfig(userTimeout).Listen(ctx, "tcp", s.Address)
 	s.listener = listener
 	return magnoliashore.Step(err, "listening for entry hosts", s.Address)
 }
--- a/target/link.go
+++ b/target/link.go
@@ -31,7 +31,7 @@
 	clock          magnoliashore.Clock
 	dialTimeout    time.Duration
 	releaseTimeout time.Duration // how long a closed connection waits for the target to close its side
-	dialer         net.Dialer
+	dialer         *net.Dialer
 	transport      *http.Transport
 	counter        *connCounter
 	quota          *quota
@@ -49,7 +49,7 @@
 		clock:          p.Clock,
 		dialTimeout:    p.dialTimeout(),
 		releaseTimeout: p.releaseTimeout(),
-		dialer:         net.Dialer{Control: tcp.Control(p.UserTimeout)},
+		dialer:         tcp.Dialer(0, p.UserTimeout),
 		counter:        &connCounter{notifier: e.notifier},
 		quota:          e.quota,
 		conns:          make(map[*conn]struct{}),
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -49,8 +49,42 @@
 	return n, err
 }
 
-// Dialer returns a dialer that limits connecting to connectTimeout and applies
-// Control(userTimeout) to its connections.
+const (
+	// Idle time of a connection after which keep-alive probes begin: seconds, so that
+	// thousands of idle connections cost little.
+	probeIdle = 5 * time.Second
+	// Time between two probes. The kernel counts whole seconds.
+	probeInterval = time.Second
+	// Unanswered probes after which a connection without a user timeout is closed.
+	probeCount = 3
+)
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+}
+
+// SilenceTime returns the time after the last received byte or acknowledgement at which
+// the kernel closes an idle connection whose other side has become silent. If a user
+// timeout is set, it decides when probes give up, whatever their count: at the first
+// probe time after one unanswered probe at which it has passed.
+func SilenceTime(userTimeout time.Duration) time.Duration {
+	if userTimeout <= 0 {
+		return probeIdle + probeCount*probeInterval
+	}
+	silence := probeIdle + probeInterval
+	for silence < userTimeout {
+		silence += probeInterval
+	}
+	return silence
+}
+
+// Dialer returns a dialer that limits connecting to connectTimeout. Its connections are
+// probed while they are idle, and Control(userTimeout) applies to them.
 func Dialer(connectTimeout, userTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: connectTimeout, Control: Control(userTimeout)}
+	return &net.Dialer{Timeout: connectTimeout, Control: Control(userTimeout), KeepAliveConfig: keepAlive()}
+}
+
+// ListenConfig is like Dialer for the connections that a listener accepts.
+func ListenConfig(userTimeout time.Duration) *net.ListenConfig {
+	return &net.ListenConfig{Control: Control(userTimeout), KeepAliveConfig: keepAlive()}
 }
