fix: one silent connection makes a host doubt the others

Cause: a host keeps some 30 links to other hosts and a connection to each of hundreds of targets. A link was closed when a batch over it had no answer 0.5 s after its time, a connection to a target when a request on it was given up: one lost request each, and only a fifth of the requests may be repeated.

The long poll for entries is under way all the time, so it notices first: its answer is overdue, and the same source answers over a new connection. That shows that the old one is silent. The host then checks all links with a ping, which must be answered in 0.3 s, closes idle connections to targets, and lets new ones be opened beside those that have had no answer for 0.3 s.

Tried and dropped: to distrust connections when several targets leave requests on kept ones without an answer.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -221,10 +221,17 @@
 		Dial: func(host registry.Candidate) registry.Source {
 			return &registry.Peer{Address: host.Name, Client: client, MaxHops: host.MaxHops}
 		},
-		Order: h.sources,
+		Order: h.sources, OnSilence: h.distrustConnections,
 	}
 }
 
+// distrustConnections checks or replaces all open connections, since one of them has
+// become silent.
+func (h *Host) distrustConnections() {
+	h.engine.Pool.DistrustKept()
+	h.hosts.checkLinks()
+}
+
 // sources returns the sources of entries, in order of preference.
 func (h *Host) sources() []registry.Candidate {
 	if order := h.sourceOrder.Load(); order != nil {
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -222,6 +222,17 @@
 	}
 }
 
+// checkLinks finds out which links to other hosts have become silent. What hosts have not
+// answered over them says nothing about the hosts.
+func (h *hosts) checkLinks() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.help)
+	for _, link := range h.links {
+		go link.Check()
+	}
+}
+
 // Confirm records that a host reaches targets that this one does not.
 func (h *hosts) Confirm(peer string) {
 	h.mu.Lock()
--- a/origin/conn.go
+++ b/origin/conn.go
@@ -25,6 +25,7 @@
 	idleTimeout   time.Duration      // idle time after which the target closes it; zero if unknown
 	lastSignature string             // signature of the previous answer
 	noReuse       bool               // must not carry another request
+	distrusted    bool               // does not count as open any more, since it may be silent
 	writeDone     <-chan error       // receives the result of writing a long body; nil if no write is in progress
 }
 
--- a/origin/connlist.go
+++ b/origin/connlist.go
@@ -28,10 +28,11 @@
 	dialTarget DialFunc
 
 	mu      sync.Mutex
-	idle    []*conn   // most recently used last
-	numOpen int       // open connections, including idle ones, and dials in progress
-	waiting []*waiter // sorted by priority
-	retired bool      // the target is no longer used
+	idle    []*conn             // most recently used last
+	busy    map[*conn]time.Time // connections whose request has no answer yet, since when
+	numOpen int                 // open connections, including idle ones, and dials in progress
+	waiting []*waiter           // sorted by priority
+	retired bool                // the target is no longer used
 }
 
 // acquire returns an idle connection, opens one if fewer than maxOpen are open,
@@ -104,10 +105,56 @@
 	return newConn(c), nil
 }
 
-// release frees the slot of a closed connection and passes it to the next waiter.
+// use records that a request is sent on a connection at now.
+func (l *connList) use(c *conn, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.busy == nil {
+		l.busy = make(map[*conn]time.Time)
+	}
+	l.busy[c] = now
+}
+
+// endUse records that the request on a connection has an answer, or will have none.
+func (l *connList) endUse(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.busy, c)
+}
+
+// distrust closes the idle connections, which may be silent, and frees the slots of
+// those without an answer since before a time, so that others can be opened.
+func (l *connList) distrust(before time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeIdle()
+	for c, since := range l.busy {
+		if since.Before(before) && !c.distrusted {
+			c.distrusted = true
+			l.releaseSlot()
+		}
+	}
+}
+
+// discard closes a connection and frees its slot.
+func (l *connList) discard(c *conn) {
+	_ = c.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.distrusted {
+		l.releaseSlot()
+	}
+}
+
+// release frees the slot of a connection that was not opened.
 func (l *connList) release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.releaseSlot()
+}
+
+// releaseSlot passes a slot to the next waiter, or frees it. The caller holds l.mu.
+func (l *connList) releaseSlot() {
 	if w := l.nextWaiter(); w != nil {
 		w.ready <- nil
 		return
@@ -119,6 +166,10 @@
 func (l *connList) put(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.distrusted {
+		_ = c.Close()
+		return
+	}
 	if l.retired {
 		l.numOpen--
 		_ = c.Close()
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -38,9 +38,11 @@
 		return Result{Target: attempt.Target, Err: err, Took: p.Timer.Now().Sub(start)}
 	}
 	connected := p.Timer.Now()
+	l.use(c, connected)
 	attempt.Timeout -= connected.Sub(start)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	result := p.roundTrip(c, req, attempt)
+	l.endUse(c)
 	interrupted := !stop()
 	if ctx.Err() != nil && result.Status == 0 {
 		result.Err = errors.CombineErrors(errCanceled, context.Cause(ctx))
@@ -48,13 +50,11 @@
 	result.Target, result.Took = attempt.Target, p.Timer.Now().Sub(connected)
 	switch {
 	case interrupted || result.Status == 0:
-		_ = c.Close()
-		l.release()
+		l.discard(c)
 	case result.Tail != nil:
 		result.Tail.bind(ctx, func(complete bool) {
 			if !complete {
-				_ = c.Close()
-				l.release()
+				l.discard(c)
 				return
 			}
 			p.reuseAfterWrite(l, c)
@@ -100,8 +100,7 @@
 // it if it cannot carry another request.
 func (p *Pool) reuseOrClose(l *connList, c *conn) {
 	if c.noReuse || c.reader.Buffered() > 0 {
-		_ = c.Close()
-		l.release()
+		l.discard(c)
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -126,6 +126,21 @@
 	return l
 }
 
+// answerPatience is how long a request may be without an answer before its connection
+// is distrusted together with the idle ones.
+const answerPatience = 300 * time.Millisecond
+
+// DistrustKept makes further requests use new connections: those that are open may have
+// become silent. Requests in flight go on.
+func (p *Pool) DistrustKept() {
+	before := p.Timer.Now().Add(-answerPatience)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.conns {
+		l.distrust(before)
+	}
+}
+
 // Retain drops the targets that are not known and closes their idle connections.
 func (p *Pool) Retain(known func(id magnoliashore.TargetID) bool) {
 	p.mu.Lock()
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -87,13 +87,16 @@
 	Order func() []Candidate
 	Timer *timer.Service
 	Log   log.Interface
+	// OnSilence is called when a kept connection has become silent: its source answers
+	// over a new one. One event may have silenced others as well. May be nil.
+	OnSilence func()
 
 	avoided      map[string]avoidance
-	overdue      map[string]bool // sources whose latest answer was overdue, until the next good one
-	current      string          // preferred source of the latest call
-	lastGood     string          // source of the latest good answer; empty if it has failed since
-	lastGoodHops int             // of the latest good answer
-	misses       int             // calls since the latest good answer
+	overdue      map[string]time.Time // when the answer of a source over a kept connection was overdue, until its next good one
+	current      string               // preferred source of the latest call
+	lastGood     string               // source of the latest good answer; empty if it has failed since
+	lastGoodHops int                  // of the latest good answer
+	misses       int                  // calls since the latest good answer
 }
 
 var _ Source = (*Selector)(nil)
@@ -238,6 +241,9 @@
 
 // recordSuccess records a good answer of a source.
 func (s *Selector) recordSuccess(name string, hops int) {
+	if at, ok := s.overdue[name]; ok && s.Timer.Now().Sub(at) < silencePeriod {
+		s.reportSilence(name)
+	}
 	delete(s.avoided, name)
 	delete(s.overdue, name)
 	s.lastGood, s.lastGoodHops, s.misses = name, hops, 0
@@ -247,17 +253,29 @@
 // source should be called again at once, since only the connection may be silent.
 func (s *Selector) recordOverdue(call *sourceCall) bool {
 	name := call.candidate.Name
-	if !call.kept || s.overdue[name] {
+	if _, again := s.overdue[name]; again || !call.kept {
 		s.recordFailure(name, call.began, errOverdue)
 		return false
 	}
 	if s.overdue == nil {
-		s.overdue = make(map[string]bool)
+		s.overdue = make(map[string]time.Time)
 	}
-	s.overdue[name] = true
+	s.overdue[name] = s.Timer.Now()
 	return true
 }
 
+// silencePeriod is the time after an overdue answer over a kept connection in which one
+// over a new connection shows that the kept one is silent.
+const silencePeriod = time.Second
+
+// reportSilence reports that a kept connection to a source has become silent.
+func (s *Selector) reportSilence(name string) {
+	s.Log.WithField("from", name).Warn("a kept connection has become silent; others may have, too")
+	if s.OnSilence != nil {
+		s.OnSilence()
+	}
+}
+
 func (s *Selector) recordFailure(name string, began time.Time, err error) {
 	s.misses++
 	if s.lastGood == name {
--- a/relay/link.go
+++ b/relay/link.go
@@ -33,6 +33,8 @@
 	maxHandshakeSize = 64 << 10
 	// Results of one batch that are queued for the reader.
 	maxQueuedResults = 16
+	// Time for the answer to a check of the connection.
+	checkTimeout = 300 * time.Millisecond
 	// Time past the due time of a batch after which the connection is closed
 	// if no result has arrived.
 	answerMargin = 500 * time.Millisecond
@@ -54,6 +56,7 @@
 	dialing    bool
 	calls      map[uint64]*Call // batches in flight, by number
 	lastNumber uint64
+	lastPong   time.Time // when the other host last answered a check
 
 	writeMu sync.Mutex // serializes writes to the socket
 }
@@ -178,6 +181,12 @@
 	}
 	bound.AllowAll() // frames have a bound of their own
 	socket.SetReadLimit(maxFrameSize)
+	socket.SetPongHandler(func(string) error {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lastPong = l.Timer.Now()
+		return nil
+	})
 	l.socket = socket
 	l.calls = make(map[uint64]*Call)
 	l.mu.Unlock()
@@ -273,6 +282,31 @@
 	l.calls = nil
 }
 
+// Check closes the connection if the other host does not answer at once, so that its
+// batches are not waited for, and opens another one.
+func (l *Link) Check() {
+	l.mu.Lock()
+	socket, began := l.socket, l.Timer.Now()
+	l.mu.Unlock()
+	if socket == nil {
+		return
+	}
+	// WriteControl may be called beside other writes.
+	if err := socket.WriteControl(websocket.PingMessage, nil, began.Add(checkTimeout)); err != nil {
+		l.disconnect(socket, err)
+		return
+	}
+	l.Timer.Call(checkTimeout, func() {
+		l.mu.Lock()
+		answered := !l.lastPong.Before(began)
+		l.mu.Unlock()
+		if !answered {
+			l.disconnect(socket, errors.New("the host does not answer over this connection"))
+			l.Connect()
+		}
+	})
+}
+
 // Close closes the connection.
 func (l *Link) Close() {
 	l.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -201,3 +201,37 @@
 		t.Errorf("got %d bytes, want at most %d", size, limit)
 	}
 }
+
+// TestSilentLinkIsFoundOut guards against batches that are sent over a connection which
+// has become silent, and waited for: a check closes it at once, and leaves a working one.
+func TestSilentLinkIsFoundOut(t *testing.T) {
+	t.Parallel()
+	working, _ := connect(t, relayServer(func(context.Context, relay.Request, func(relay.Result)) {}))
+	silent, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		upgrader := websocket.Upgrader{}
+		socket, err := upgrader.Upgrade(w, r, nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = socket.Close() }()
+		<-t.Context().Done() // reads nothing, so it answers no check
+	}))
+	call, err := silent.Send(testRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	working.Check()
+	silent.Check()
+	select {
+	case _, ok := <-call.Results:
+		if ok {
+			t.Error("got a result over a silent connection, want none")
+		}
+	case <-time.After(500 * time.Millisecond):
+		t.Error("got a batch that is still waited for 0.5 s after the check")
+	}
+	if !working.Connected() {
+		t.Error("got a working connection closed, want it open")
+	}
+}
