refactor(gateway): a query run keeps its cancel; members are looked up in one way

Read again as a newcomer: cancel and cancelAttempts were the same function, and what is kept of hosts that are gone was dropped only if they had failed.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -31,8 +31,8 @@
 			Shards: len(request.Shards), MinShards: 1, MaxAttempts: request.MaxAttempts, HedgeAfter: request.HedgeAfter, Timeout: request.Timeout,
 		},
 	}
-	r, cancel := e.start(ctx, q)
-	defer cancel()
+	r := e.start(ctx, q)
+	defer r.cancel()
 	r.reportAt = now.Add(request.PartialAfter)
 	for first := true; ; first = false {
 		decision, ok := r.wait(ctx)
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -83,15 +84,13 @@
 			h.links[peer].Connect()
 		}
 	}
-	for peer := range h.help {
-		if !slices.ContainsFunc(members, func(m membership.Member) bool { return m.Peer() == peer }) {
-			delete(h.help, peer)
-			delete(h.confirmed, peer)
-		}
+	runs := func(peer string) bool {
+		return slices.ContainsFunc(members, func(m membership.Member) bool { return m.Peer() == peer })
 	}
+	maps.DeleteFunc(h.help, func(peer string, _ *helpRecord) bool { return !runs(peer) })
+	maps.DeleteFunc(h.confirmed, func(peer string, _ time.Time) bool { return !runs(peer) })
 	for peer, link := range h.links {
-		runs := slices.ContainsFunc(members, func(m membership.Member) bool { return m.Peer() == peer })
-		if !runs {
+		if !runs(peer) {
 			link.Close()
 			delete(h.links, peer)
 		}
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -100,7 +100,7 @@
 	now := r.timer.Now()
 	zones := r.engine.View().Zones()
 	for zone, change := range r.engine.observeZones(now, zones) {
-		r.logChange(zone, change, reach.Test{})
+		r.report(zone, change, reach.Test{})
 	}
 	for _, zone := range r.engine.dueTests(now) {
 		r.start(ctx, now, zone, zones[zone])
@@ -213,12 +213,12 @@
 	delete(r.tests, number)
 	change := r.engine.recordTest(test.outcome)
 	if change != reach.Unchanged || test.outcome.Own == 0 {
-		r.logChange(test.outcome.Zone, change, test.outcome)
+		r.report(test.outcome.Zone, change, test.outcome)
 	}
 }
 
-// logChange logs a change or a test, and announces whether this host is cut off.
-func (r *reachability) logChange(zone magnoliashore.ZoneName, change reach.Change, t reach.Test) {
+// report logs a change or a test, and announces whether this host is cut off.
+func (r *reachability) report(zone magnoliashore.ZoneName, change reach.Change, t reach.Test) {
 	fields := log.Fields{"targetzone": string(zone), "tried": t.Tried, "connected": t.Own, "others": t.Others}
 	switch change {
 	case reach.Unchanged:
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -35,24 +35,22 @@
 
 // queryRun is the state of a query that runs on this host.
 type queryRun struct {
-	engine   *Engine
-	query    *query
-	progress *scatter.Progress
-	ctx      context.Context // context of the attempts
-	cancel   context.CancelFunc
-	// cancelAttempts ends the attempts, like cancel, also while the query runs.
-	cancelAttempts context.CancelFunc
-	events         chan event
-	tried          [][]magnoliashore.TargetID // by shard: the targets of its attempts
-	reached        []bool                     // by shard: whether a failed attempt was sent
-	batches        []*batch
-	results        []mergedResult
-	unreported     int            // trailing elements of results that were not reported yet
-	reportAt       time.Time      // when to start reporting results; zero for never
-	lastAnswer     *origin.Result // latest answer that is not acceptable
-	answer         *origin.Result // answer of a query to one service
-	extraAttempts  int            // retries and hedges
-	refused        int            // attempts refused by a target or a full queue
+	engine        *Engine
+	query         *query
+	progress      *scatter.Progress
+	ctx           context.Context    // context of the attempts
+	cancel        context.CancelFunc // ends the attempts
+	events        chan event
+	tried         [][]magnoliashore.TargetID // by shard: the targets of its attempts
+	reached       []bool                     // by shard: whether a failed attempt was sent
+	batches       []*batch
+	results       []mergedResult
+	unreported    int            // trailing elements of results that were not reported yet
+	reportAt      time.Time      // when to start reporting results; zero for never
+	lastAnswer    *origin.Result // latest answer that is not acceptable
+	answer        *origin.Result // answer of a query to one service
+	extraAttempts int            // retries and hedges
+	refused       int            // attempts refused by a target or a full queue
 
 	failures map[int]string // by shard: failure of the latest attempt
 
@@ -63,14 +61,14 @@
 	batchMedian    time.Duration // longest such time of a batch
 }
 
-// start starts a query. The returned function ends the attempts that still run.
-// It is called as soon as the query is over, since an unneeded request delays
+// start starts a query. The cancel of the returned run ends the attempts that still
+// run. It is called as soon as the query is over, since an unneeded request delays
 // others at a target that has a queue.
-func (e *Engine) start(ctx context.Context, q *query) (*queryRun, context.CancelFunc) {
+func (e *Engine) start(ctx context.Context, q *query) *queryRun {
 	now := e.Timer.Now()
 	attempts, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r := &queryRun{
-		engine: e, query: q, progress: scatter.NewProgress(q.params, now), ctx: attempts, cancelAttempts: cancel,
+		engine: e, query: q, progress: scatter.NewProgress(q.params, now), ctx: attempts, cancel: cancel,
 		events:   make(chan event, len(q.services)*(q.params.MaxAttempts+eventsPerBatch)),
 		tried:    make([][]magnoliashore.TargetID, len(q.services)),
 		reached:  make([]bool, len(q.services)),
@@ -78,7 +76,7 @@
 		failures: make(map[int]string),
 	}
 	r.dispatch()
-	return r, cancel
+	return r
 }
 
 // run runs a query until there is a decision. It returns false if ctx ended because
@@ -109,8 +107,7 @@
 }
 
 func (e *Engine) runToDecision(ctx context.Context, q *query) (*queryRun, scatter.Decision, bool) {
-	r, cancel := e.start(ctx, q)
-	r.cancel = cancel
+	r := e.start(ctx, q)
 	decision, ok := r.wait(ctx)
 	r.judgeHelpers()
 	return r, decision, ok
@@ -186,7 +183,7 @@
 // abort ends the attempts and waits for their outcomes, which tell whether any of them
 // may have run.
 func (r *queryRun) abort() {
-	r.cancelAttempts()
+	r.cancel()
 	timeout := r.engine.Timer.After(abortTimeout)
 	defer timeout.Stop()
 	for r.progress.AnyInFlight() {
--- a/registry/race_test.go
+++ b/registry/race_test.go
@@ -50,8 +50,8 @@
 	t.Parallel()
 	const forever = 1000
 	tests := []struct {
-		name  string
-		mute  map[string]int32
+		name string
+		mute map[string]int32
 		// Sources of the answers, one call after another. Sources that are called at the
 		// same time are joined by a bar.
 		want     []string
