--- a/gateway/batch_test.go
+++ b/gateway/batch_test.go
@@ -116,8 +116,8 @@
 // wantAllShards runs a query and checks that all shards return partial results.
 func wantAllShards(t *testing.T, e *Engine, q *query) {
 	t.Helper()
-	r, cancel := e.start(t.Context(), q)
-	defer cancel()
+	r := e.start(t.Context(), q)
+	defer r.cancel()
 	decision, _ := r.wait(t.Context())
 	if len(r.batches) != 1 {
 		t.Errorf("got %d batches, want 1", len(r.batches))
@@ -141,8 +141,8 @@
 	t.Parallel()
 	e, q := remoteShards(t, startDyingHelper(t))
 	q.params.AtMostOnce = true
-	r, cancel := e.start(t.Context(), q)
-	defer cancel()
+	r := e.start(t.Context(), q)
+	defer r.cancel()
 	if decision, _ := r.wait(t.Context()); decision != scatter.Fail || len(flat(r.tried)) != 0 {
 		t.Errorf("got decision %d after attempts at %v, want a failure without attempts", decision, flat(r.tried))
 	}
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -66,13 +66,13 @@
 		const requests = 20
 		for range requests {
 			now := time.Now()
-			r, cancel := e.start(t.Context(), &query{
+			r := e.start(t.Context(), &query{
 				request: origin.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}, ID: "a"},
 				kind:    "k", services: []magnoliashore.ServiceName{"s"}, deadline: now.Add(2 * time.Second), received: now,
 				params: scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 2, Timeout: 2 * time.Second, AtMostOnce: atMostOnce},
 			})
 			decision, _ := r.wait(t.Context())
-			cancel()
+			r.cancel()
 			switch {
 			case decision == scatter.Answer:
 				answered++
