--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -64,3 +64,19 @@
 		}
 	}
 }
+
+// BenchmarkFailing measures a look at 15,000 targets of which none fails.
+func BenchmarkFailing(b *testing.B) {
+	balancer := &balance.Balancer{Zone: "a"}
+	targets := make([]*catalog.Target, 15_000)
+	for i := range targets {
+		targets[i] = target(magnoliashore.TargetID(strconv.Itoa(i)), "a")
+		balancer.Complete(start, balancer.Start(start, targets[i], kind), time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, t := range targets {
+			balancer.Failing(start, t.ID(), time.Second, 300*time.Millisecond)
+		}
+	}
+}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -229,6 +229,7 @@
 // become silent.
 func (h *Host) distrustConnections() {
 	h.engine.Pool.DistrustKept()
+	h.handler.Forwarder.CloseIdle()
 	h.hosts.checkLinks()
 }
 
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -113,6 +113,9 @@
 	return resp, nil
 }
 
+// CloseIdle closes the connections that no request uses, which may be silent.
+func (f *Forwarder) CloseIdle() { f.client.CloseIdleConnections() }
+
 // ForwardServer takes whole requests from other hosts.
 type ForwardServer struct {
 	// Handle answers a request. It returns an error, and writes nothing, if it does not
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -126,6 +126,33 @@
 	}
 }
 
+// TestIdleForwardConnectionsAreClosed guards against requests on connections that have
+// become silent while they were idle.
+func TestIdleForwardConnectionsAreClosed(t *testing.T) {
+	t.Parallel()
+	var callers []string
+	peer := startForwardServer(t, func(w http.ResponseWriter, r *http.Request, _, _ time.Duration) error {
+		callers = append(callers, r.RemoteAddr)
+		w.WriteHeader(http.StatusOK)
+		return nil
+	})
+	f := relay.NewForwarder()
+	for i := range 3 {
+		resp, err := f.Forward(t.Context(), peer, relay.ForwardedRequest{Method: "GET", URI: "/"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if i == 1 {
+			f.CloseIdle()
+		}
+	}
+	if callers[0] != callers[1] || callers[1] == callers[2] {
+		t.Errorf("got connections from %v, want one for the first two requests and another after the idle ones were closed", callers)
+	}
+}
+
 // TestForwardEndsWithItsCaller guards against work at another host for a caller that
 // has left.
 func TestForwardEndsWithItsCaller(t *testing.T) {
