fix(gateway): ends of targets behind a cut are blamed on no request

Cause: a target whose connections broke has ended if it refuses a new one. To a host behind a cut that resets, all targets refuse. Three such ends convict a request, and all hosts are told.

The host keeps for 3 s which requests it has blamed, clears them everywhere when it finds that it is cut off from the zone, and blames none while it is. TestCutHostsBlameNoRequests, red before: the request stayed refused.

--- a/gateway/ended.go
+++ b/gateway/ended.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,45 @@
 type endings struct {
 	mu     sync.Mutex
 	broken map[magnoliashore.TargetID]*brokenTarget
+	blamed []blame // the latest ones, the oldest first
+}
+
+// blame is an end of a target that was counted against a request.
+type blame struct {
+	digest suspect.Digest
+	zone   magnoliashore.ZoneName // of the target
+	at     time.Time
+}
+
+const (
+	// Ends that are kept to be withdrawn, and for how long: until a cut is surely known.
+	maxBlamed    = 256
+	blamedPeriod = 3 * time.Second
+)
+
+// blame records that an end was counted against a request.
+func (n *endings) blame(b blame) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.blamed) == maxBlamed {
+		n.blamed = n.blamed[1:]
+	}
+	n.blamed = append(n.blamed, b)
+}
+
+// withdraw returns the requests against which ends of a zone's targets were counted
+// lately, and forgets these ends.
+func (n *endings) withdraw(now time.Time, zone magnoliashore.ZoneName) []suspect.Digest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var digests []suspect.Digest
+	n.blamed = slices.DeleteFunc(n.blamed, func(b blame) bool {
+		if b.zone == zone && now.Sub(b.at) < blamedPeriod && !slices.Contains(digests, b.digest) {
+			digests = append(digests, b.digest)
+		}
+		return b.zone == zone
+	})
+	return digests
 }
 
 // brokenTarget is a target whose connections broke a short time ago.
@@ -122,8 +162,24 @@
 	e.Log.WithFields(log.Fields{
 		"target": string(t.ID()), "service": string(t.Service()), "requests": len(digests), "digests": strings.Join(names, ","),
 	}).Info("target ended while it ran requests")
+	if e.isCut(t.Zone()) {
+		e.endTrials(digests)
+		return // a target behind a cut refuses connections as one that has ended
+	}
 	e.suspectRequests(t, digests)
 }
 
+// clearInnocent clears the requests that were blamed for ends of a zone's targets: this
+// host was only cut off from them.
+func (e *Engine) clearInnocent(zone magnoliashore.ZoneName) {
+	now := e.Timer.Now()
+	for _, d := range e.endings.withdraw(now, zone) {
+		if e.suspects.update(d, func(t *suspect.Table) bool { return t.Completed(now, d) }) {
+			e.Metrics.suspectsCleared.Inc()
+			e.Log.WithFields(log.Fields{"digest": d.String(), "targetzone": string(zone)}).Info("request is cleared: this host was cut off from the targets that seemed to end")
+		}
+	}
+}
+
 // maxLoggedDigests is the most digests in one log line.
 const maxLoggedDigests = 8
--- a/gateway/reachstate.go
+++ b/gateway/reachstate.go
@@ -70,14 +70,25 @@
 	case reach.Unchanged, reach.Returned:
 	}
 	e.mu.Unlock()
-	if change == reach.Returning {
+	switch change {
+	case reach.CutBegan:
+		e.clearInnocent(t.Zone)
+	case reach.Returning:
 		for _, target := range targets {
 			e.Pool.DropIdle(target.ID())
 		}
+	case reach.Unchanged, reach.Returned:
 	}
 	return change
 }
 
+// isCut reports whether this host is cut off from the targets of a zone.
+func (e *Engine) isCut(zone magnoliashore.ZoneName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reach.Cut(zone)
+}
+
 // cutOff reports whether this host is cut off from the targets of its zone, or from
 // all.
 func (e *Engine) cutOff(own magnoliashore.ZoneName) bool {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -151,6 +151,7 @@
 		if e.suspects.completedRecently(now, d) {
 			continue
 		}
+		e.endings.blame(blame{digest: d, zone: target.Zone(), at: now})
 		if e.suspects.update(d, func(t *suspect.Table) bool { return t.Ended(now, d, target.ID(), target.ProcessStart()) }) {
 			e.logConviction(d, "this host")
 		}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -8,6 +8,7 @@
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/magnoliashore/magnoliashore/reach"
 	"github.com/magnoliashore/magnoliashore/retry"
 	"github.com/magnoliashore/magnoliashore/suspect"
 )
@@ -67,3 +68,37 @@
 		t.Errorf("got verdict %d for the request that was not, want it refused", got)
 	}
 }
+
+// TestCutHostsBlameNoRequests guards against requests that all hosts refuse since one
+// host was cut off from the targets: behind a cut that resets connections, targets seem
+// to end under every request. A request that was blamed for an end elsewhere stays so.
+func TestCutHostsBlameNoRequests(t *testing.T) {
+	t.Parallel()
+	targets := []*catalog.Target{targetOf("t1", time.Time{}), targetOf("t2", time.Time{}), targetOf("t3", time.Time{})}
+	e := testEngine(catalog.NewView(nil, targets), retry.Limit{})
+	e.Pool = &origin.Pool{Dialect: signedDialect{}, Timer: e.Timer}
+	innocent := &query{request: origin.Request{Method: http.MethodGet, Host: "h", URI: "/innocent"}}
+	deadly := &query{request: origin.Request{Method: http.MethodGet, Host: "h", URI: "/deadly"}}
+	elsewhere := catalog.NewTarget(catalog.TargetSpec{ID: "t4", Service: "s", Zone: "b"})
+	for _, target := range targets {
+		e.targetEnded(target, []suspect.Digest{innocent.digest(signedDialect{})})
+	}
+	e.targetEnded(elsewhere, []suspect.Digest{deadly.digest(signedDialect{})})
+	if got := e.rule(innocent).Verdict; got != suspect.Refused {
+		t.Fatalf("got verdict %d before the cut is known, want the request refused", got)
+	}
+	e.reach.Suspect(e.Timer.Now(), "a")
+	e.recordTest(reach.Test{Zone: "a", Tried: 3, Own: 0, Others: 3})
+	if got := e.rule(innocent).Verdict; got != suspect.Innocent {
+		t.Errorf("got verdict %d once the cut is known, want the request innocent", got)
+	}
+	for _, target := range targets {
+		e.targetEnded(target, []suspect.Digest{innocent.digest(signedDialect{})})
+	}
+	if got := e.rule(innocent).Verdict; got != suspect.Innocent {
+		t.Errorf("got verdict %d after more connections broke behind the cut, want the request innocent", got)
+	}
+	if got := e.rule(deadly).Verdict; got != suspect.Suspect {
+		t.Errorf("got verdict %d for a request with an end in another zone, want it suspected", got)
+	}
+}
