--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -117,8 +117,8 @@
 	}
 	t.Front = c.front
 	body := "order of " + t.ID
-	request := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		c.path, t.ID[:6], domain, t.ID, left.Milliseconds(), len(body), body)
+	request := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		c.path, t.ID[:6], domain, names.Request, t.ID, names.Deadline, left.Milliseconds(), len(body), body)
 	began := time.Now()
 	_ = c.conn.SetDeadline(began.Add(left))
 	if _, err := io.WriteString(c.conn, request); err != nil {
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -257,7 +257,7 @@
 
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + h.ready + "/-/readyz")
+	resp, err := client.Get("http://" + h.ready + names.Ready)
 	if err != nil {
 		return false
 	}
@@ -268,7 +268,7 @@
 // resolve asks the directory of a host where to connect.
 func (h *host) resolve(zone string) ([]string, time.Duration, error) {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + h.directory + "/-/resolve?name=" + domain + "&region=region&zone=" + zone)
+	resp, err := client.Get("http://" + h.directory + names.Resolve + "?name=" + domain + "&region=region&zone=" + zone)
 	if err != nil {
 		return nil, 0, err
 	}
