test: review case 2, a host ends when callers use up its descriptors

Cause: callerServer.run (gateway/server.go) returns any error of Accept, and the error group of Host.Run then ends the process. With "too many open files" that cuts all requests in flight, and the host ends again when callers return.

The script takes 7 of 8 hosts down for 30 s; 5,000 clients move to the last one, whose process may open 4,100 descriptors as its settings say. Ruled out: requests on new connections, at other hosts or at their deadline aren't counted. Nothing is fixed.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -23,6 +23,7 @@
 	Sent     time.Time // when the last byte of the request was sent; zero if it was not
 	Ended    time.Time
 	Deadline time.Duration
+	Kept     bool   // the connection had carried another request before
 	Status   int    // 0: no complete answer
 	Outcome  string // "answered", or how the connection ended
 }
@@ -35,20 +36,24 @@
 	hosts    []*host
 	deadline time.Duration
 	think    func() time.Duration
+	method   string
 	path     string
 
-	addrs   []string
-	fresh   time.Time // until when addrs count
-	failed  map[string]time.Time
-	conn    net.Conn
-	reader  *bufio.Reader
-	front   string
-	lastUse time.Time
+	addrs  []string
+	fresh  time.Time // until when addrs count
+	failed map[string]time.Time
+	conn   net.Conn
+	reader *bufio.Reader
+	front  string
+	used   bool // the connection has carried a request
 
 	mu    sync.Mutex
 	tries []try
 }
 
+// failedFor is how long a client leaves an address that has failed it.
+const failedFor = 3 * time.Second
+
 func (c *client) lookUp() {
 	if time.Now().Before(c.fresh) {
 		return
@@ -88,7 +93,7 @@
 func (c *client) connect() bool {
 	var usable []string
 	for _, a := range c.addrs {
-		if time.Since(c.failed[a]) > time.Second {
+		if time.Since(c.failed[a]) > failedFor {
 			usable = append(usable, a)
 		}
 	}
@@ -104,7 +109,7 @@
 		c.failed[c.front] = time.Now()
 		return false
 	}
-	c.conn, c.reader = conn, bufio.NewReader(conn)
+	c.conn, c.reader, c.used = conn, bufio.NewReader(conn), false
 	return true
 }
 
@@ -115,10 +120,14 @@
 		t.Ended, t.Outcome = time.Now(), "no connection"
 		return t, 0
 	}
-	t.Front = c.front
-	body := "order of " + t.ID
-	request := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		c.path, t.ID[:6], domain, names.Request, t.ID, names.Deadline, left.Milliseconds(), len(body), body)
+	t.Front, t.Kept = c.front, c.used
+	c.used = true
+	body := ""
+	if c.method == http.MethodPost {
+		body = "order of " + t.ID
+	}
+	request := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		c.method, c.path, t.ID[:6], domain, names.Request, t.ID, names.Deadline, left.Milliseconds(), len(body), body)
 	began := time.Now()
 	_ = c.conn.SetDeadline(began.Add(left))
 	if _, err := io.WriteString(c.conn, request); err != nil {
@@ -127,7 +136,7 @@
 		return t, 0
 	}
 	t.Sent = time.Now()
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: c.method})
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
@@ -175,6 +184,38 @@
 	c.drop()
 }
 
+// persist sends requests that may be repeated until end. After a failure of any kind it
+// tries again, over a new connection, a few times within its deadline.
+func (c *client) persist(end time.Time) {
+	c.failed = make(map[string]time.Time)
+	for time.Now().Before(end) {
+		began := time.Now()
+		for range maxTries {
+			c.lookUp()
+			left := c.deadline - time.Since(began)
+			if left <= 0 {
+				break
+			}
+			t, after := c.attempt(left)
+			c.mu.Lock()
+			c.tries = append(c.tries, t)
+			c.mu.Unlock()
+			if t.Status == http.StatusOK {
+				break
+			}
+			c.drop()
+			time.Sleep(max(time.Duration(after*float64(time.Second)), retryPause))
+		}
+		time.Sleep(c.think())
+	}
+	c.drop()
+}
+
+const (
+	maxTries   = 8
+	retryPause = time.Second
+)
+
 func (c *client) all() []try {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -57,12 +57,14 @@
 	root           string
 	program        string
 	out            *lockedBuffer
+	maxFds         int // limit of the process; zero for that of the harness
 
 	mu       sync.Mutex
 	command  *exec.Cmd
 	ended    chan struct{}
 	terms    []time.Time // when SIGTERM was sent
 	stopping bool        // the machine is not started again
+	down     time.Time   // until when the machine is down
 	ends     []string
 }
 
@@ -184,6 +186,9 @@
 		return nil
 	}
 	command := exec.Command(h.program)
+	if h.maxFds > 0 { // the platform limits the descriptors of each process
+		command = exec.Command("/bin/sh", "-c", `ulimit -n "$1" && exec "$0"`, h.program, strconv.Itoa(h.maxFds))
+	}
 	command.Dir = h.root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MAGNOLIASHORE_SETTINGS=" + h.settings}
 	command.Stdout, command.Stderr = h.out, h.out
@@ -198,7 +203,10 @@
 		h.ends = append(h.ends, fmt.Sprintf("%s at %s: %s", h.name, stamp(time.Now()), command.ProcessState))
 		h.mu.Unlock()
 		close(ended)
-		time.Sleep(restartDelay)
+		h.mu.Lock()
+		down := h.down
+		h.mu.Unlock()
+		time.Sleep(max(restartDelay, time.Until(down)))
 		_ = h.start()
 	}()
 	return nil
@@ -216,6 +224,14 @@
 	}
 }
 
+// lose takes the machine down for a time, as a loss of power does.
+func (h *host) lose(length time.Duration) {
+	h.mu.Lock()
+	h.down = time.Now().Add(length)
+	h.mu.Unlock()
+	h.signal(syscall.SIGKILL)
+}
+
 // term sends SIGTERM, and SIGKILL after the grace time.
 func (h *host) term() {
 	h.signal(syscall.SIGTERM)
--- a/review/harness/lost.go
+++ b/review/harness/lost.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -85,7 +86,7 @@
 	for _, zone := range zones {
 		for range lostClients {
 			c := &client{
-				number: len(clients), zone: zone, hosts: hosts, deadline: lostDeadline, path: "/desk/",
+				number: len(clients), zone: zone, hosts: hosts, deadline: lostDeadline, method: http.MethodPost, path: "/desk/",
 				think: func() time.Duration { return time.Duration(rand.IntN(60)) * time.Millisecond },
 			}
 			clients = append(clients, c)
