--- a/review/harness/crowd.go
+++ b/review/harness/crowd.go
@@ -20,15 +20,16 @@
 	// Clients reuse connections that were idle for up to four fifths of idleTimeoutMs.
 	crowdIdle     = 15 * time.Second
 	crowdDeadline = 8 * time.Second
-	crowdRamp     = 11 * time.Second // in which the clients arrive
-	crowdCalm     = 12 * time.Second // from their arrival until machines are lost
-	crowdLoss     = 30 * time.Second // how long these are down
-	crowdAfter    = 12 * time.Second
-	crowdOwnFds   = 10000 // descriptors that this program needs
+	crowdRamp     = 11 * time.Second        // in which the clients arrive
+	crowdCalm     = 12 * time.Second        // from their arrival until the first machine is stopped
+	crowdGap      = 1300 * time.Millisecond // gap_s of roll_term
+	crowdAfter    = 35 * time.Second        // from the first SIGTERM on
+	crowdOwnFds   = 10000                   // descriptors that this program needs
 	lostAllowed   = 3
 )
 
-// crowd takes all machines but one down, while the clients keep their connections.
+// crowd removes all machines but one, one after the other, as an operator does who makes
+// a deployment smaller, while the clients keep their connections.
 func crowd(root string, rec *record, trouble bool) int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < crowdOwnFds {
@@ -89,7 +90,7 @@
 	}
 	time.Sleep(3 * time.Second) // until the hosts know each other
 	start := time.Now()
-	end := start.Add(crowdRamp + crowdCalm + crowdLoss + crowdAfter)
+	end := start.Add(crowdRamp + crowdCalm + crowdAfter)
 	var clients []*client
 	var group sync.WaitGroup
 	for i := range crowdClients {
@@ -107,9 +108,10 @@
 	time.Sleep(crowdRamp + crowdCalm)
 	if trouble {
 		for _, h := range hosts[1:] {
-			h.lose(crowdLoss)
+			h.leave()
+			rec.event("SIGTERM to %s, which leaves", h.name)
+			time.Sleep(crowdGap)
 		}
-		rec.event("all machines but %s are lost for %s", hosts[0].name, crowdLoss)
 	}
 	group.Wait()
 	return judgeCrowd(rec, hosts, clients, book)
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -64,7 +64,6 @@
 	ended    chan struct{}
 	terms    []time.Time // when SIGTERM was sent
 	stopping bool        // the machine is not started again
-	down     time.Time   // until when the machine is down
 	ends     []string
 }
 
@@ -203,10 +202,7 @@
 		h.ends = append(h.ends, fmt.Sprintf("%s at %s: %s", h.name, stamp(time.Now()), command.ProcessState))
 		h.mu.Unlock()
 		close(ended)
-		h.mu.Lock()
-		down := h.down
-		h.mu.Unlock()
-		time.Sleep(max(restartDelay, time.Until(down)))
+		time.Sleep(restartDelay)
 		_ = h.start()
 	}()
 	return nil
@@ -224,14 +220,6 @@
 	}
 }
 
-// lose takes the machine down for a time, as a loss of power does.
-func (h *host) lose(length time.Duration) {
-	h.mu.Lock()
-	h.down = time.Now().Add(length)
-	h.mu.Unlock()
-	h.signal(syscall.SIGKILL)
-}
-
 // term sends SIGTERM, and SIGKILL after the grace time.
 func (h *host) term() {
 	h.signal(syscall.SIGTERM)
@@ -247,6 +235,14 @@
 	}()
 }
 
+// leave stops the process as term does, and removes the machine: it is not started again.
+func (h *host) leave() {
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	h.term()
+}
+
 // termBefore returns the latest SIGTERM before a moment.
 func (h *host) termBefore(at time.Time) (time.Time, bool) {
 	h.mu.Lock()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -62,7 +62,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	root, file := os.Args[2], os.Args[3]
-	cases := map[string]func(root string, rec *record, trouble bool) int{"lost": lost, "crowd": crowd}
+	cases := map[string]func(root string, rec *record, trouble bool) int{"lost": lost, "crowd": crowd, "limits": limits}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
