feat(gateway): log what a request waits for

A request that was cut at the end of a graceful stop was logged as "caller left", why "desk has not answered", whether it waited for a connection or a target ran it.

"request done" now names the stage that the request was in, and a host that stops lists the requests that are still in flight, the oldest first, before it closes their connections. The shutdown of callers' connections and their close are separate for that.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -26,11 +26,14 @@
 			Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
 			ID: request.ID, Priority: request.Priority,
 		},
-		kind: request.Kind, services: request.Shards, deadline: now.Add(request.Timeout), topK: request.TopK, scatter: true,
+		received: now, kind: request.Kind, services: request.Shards, deadline: now.Add(request.Timeout), topK: request.TopK, scatter: true,
 		params: scatter.Params{
 			Shards: len(request.Shards), MinShards: 1, MaxAttempts: request.MaxAttempts, HedgeAfter: request.HedgeAfter, Timeout: request.Timeout,
 		},
 	}
+	q.setStage(waitsForConnection)
+	e.inFlight.add(q)
+	defer e.inFlight.remove(q)
 	r := e.start(ctx, q)
 	defer r.cancel()
 	r.reportAt = now.Add(request.PartialAfter)
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -78,6 +78,7 @@
 	lastAnswers map[magnoliashore.ZoneName]time.Time // latest answers of targets, by zone
 	cutBegan    chan struct{}                        // closed when the next cut is found; nil if nobody waits
 
+	inFlight     inFlight
 	endings      endings
 	suspects     suspects
 	observations observationLimit
@@ -161,6 +162,7 @@
 	limit := e.maxConnections(a.target)
 	result := e.Pool.Do(ctx, q.request, origin.Attempt{
 		Target: a.target, Timeout: q.deadline.Sub(e.Timer.Now()), MaxConnections: limit, MaxWaiting: limit * maxWaitingPerConnection,
+		OnSend: q.recordSend,
 	})
 	e.Metrics.attempts.Inc()
 	if result.NewConnection {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -51,6 +51,7 @@
 	defer cancel(nil)
 	fellows := h.Engine.Hosts.Fellows()
 	reason := "this host is cut off from the targets, and no other host takes the request on"
+	q.setStage(waitsForHost)
 	for _, peer := range fellows[:min(len(fellows), maxFellows)] {
 		overdue := h.Engine.Timer.Call(h.Engine.timeUntil(q.received.Add(q.params.Timeout+answerMargin/2)), func() { cancel(errNoAnswer) })
 		resp, err := h.Forwarder.Forward(ctx, peer, h.forwardedRequest(q))
@@ -184,6 +185,8 @@
 	}
 	defer func() { <-h.forwarded }()
 	h.Engine.Metrics.helped.Inc()
+	h.Engine.inFlight.add(q)
+	defer h.Engine.inFlight.remove(q)
 	h.serve(w, r, route, q)
 	return nil
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -75,6 +75,8 @@
 		q.request.Stream = stream
 		q.params.AtMostOnce = true
 	}
+	h.Engine.inFlight.add(q)
+	defer h.Engine.inFlight.remove(q)
 	if h.Engine.lacksTargets(q) {
 		h.forward(w, r, route, q)
 	} else {
@@ -118,6 +120,7 @@
 		h.refuse(w, r, retryAfter, "targets have too much work: "+admitted.String())
 		return
 	}
+	q.setStage(waitsForConnection)
 	run, decision, ok := h.Engine.run(r.Context(), q)
 	defer run.cancel()
 	if ok && decision == scatter.Fail && !q.forwarded && !run.progress.MayHaveRun() && h.Engine.lacksTargets(q) {
@@ -129,16 +132,18 @@
 	took := h.Engine.Timer.Now().Sub(q.received)
 	if !ok {
 		h.Engine.Metrics.abandoned.Inc()
-		h.logQuery(r, route, run, "caller left", took)
+		h.logQuery(r, route, run, q.currentStage(), "caller left", took)
 		return
 	}
 	if stream := q.request.Stream; stream != nil && !stream.AtEOF() {
 		w.Header().Set("Connection", "close") // the rest of the body is not read
 	}
+	stage := q.currentStage()
+	q.setStage(writesAnswer)
 	status := h.writeAnswer(w, run, decision)
 	tail := run.tail()
 	h.Engine.Metrics.answerTime.Update(took.Seconds())
-	h.logQuery(r, route, run, strconv.Itoa(status), took)
+	h.logQuery(r, route, run, stage, strconv.Itoa(status), took)
 	if tail == nil {
 		return
 	}
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -317,6 +317,10 @@
 	defer cancel()
 	if err := h.callers.shutdown(ctx); err != nil {
 		h.Log.WithError(err).Warn("requests were still in flight at the end of the grace time")
+		h.engine.inFlight.log(h.Log, h.Timer.Now())
+	}
+	if err := h.callers.close(); err != nil {
+		h.Log.WithError(err).Warn("cannot close the connections of callers")
 	}
 }
 
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -40,7 +40,9 @@
 	forwarded bool        // another host has passed the request on
 	suspected bool        // targets have ended under the same request
 	trial     bool        // tries a request again that was refused
-	sent      atomic.Bool // an attempt was sent to a target
+	sent      atomic.Bool // an attempt that was sent to a target has ended
+	sending   atomic.Bool // an attempt was sent to a target, or the query to another host
+	stage     atomic.Int32
 
 	digestOnce sync.Once
 	digestSum  suspect.Digest
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -10,15 +10,15 @@
 	"github.com/magnoliashore/magnoliashore/catalog"
 )
 
-// logQuery logs a request that was run.
-func (h *Handler) logQuery(r *http.Request, route *catalog.Route, run *queryRun, outcome string, took time.Duration) {
+// logQuery logs a request that was run, and what it waited for when it ended.
+func (h *Handler) logQuery(r *http.Request, route *catalog.Route, run *queryRun, stage stage, outcome string, took time.Duration) {
 	h.Engine.Metrics.extraAttempts.Add(run.extraAttempts)
 	h.Engine.Metrics.batches.Add(len(run.batches))
 	h.Log.WithFields(log.Fields{
 		"request": h.Dialect.Caller(r.Header).ID, "route": route.Name(),
 		"version": uint64(h.Engine.View().Config().Version()),
 		"shards":  len(run.query.services), "missing": run.progress.Missing(), "batches": len(run.batches),
-		"extra": run.extraAttempts, "refused": run.refused, "targets": run.targets(), "why": run.failureSummary(),
+		"extra": run.extraAttempts, "refused": run.refused, "targets": run.targets(), "why": run.failureSummary(), "stage": stage.String(),
 		"age": h.DataAge().Round(time.Millisecond).String(), "took": took.Round(100 * time.Microsecond).String(),
 		"outcome": outcome,
 	}).Info("request done")
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -126,9 +126,19 @@
 	f.mu.Unlock()
 	var err error
 	for _, s := range servers {
-		if e := s.Shutdown(ctx); e != nil {
-			err = errors.CombineErrors(err, errors.CombineErrors(e, s.Close()))
-		}
+		err = errors.CombineErrors(err, s.Shutdown(ctx))
+	}
+	return err
+}
+
+// close closes all connections.
+func (f *callerServer) close() error {
+	f.mu.Lock()
+	servers := f.servers
+	f.mu.Unlock()
+	var err error
+	for _, s := range servers {
+		err = errors.CombineErrors(err, s.Close())
 	}
 	return err
 }
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -39,6 +39,9 @@
 	}
 	connected := p.Timer.Now()
 	l.use(c, connected)
+	if attempt.OnSend != nil {
+		attempt.OnSend()
+	}
 	attempt.Timeout -= connected.Sub(start)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	result := p.roundTrip(c, req, attempt)
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -44,6 +44,7 @@
 	Timeout        time.Duration // time left for the answer
 	MaxConnections int           // limit on this host's connections to the target
 	MaxWaiting     int           // limit on requests waiting for a connection
+	OnSend         func()        // called just before the request is sent; may be nil
 }
 
 // Result is the outcome of an attempt.
