fix(origin): end the wait for a connection to a target that leaves

Cause: a request waits in the list of its target's connections, and only its own deadline ends that wait. When the target leaves the view, the list is retired, and nothing wakes the requests in it: put closes the connections that come back without handing them on. When a connection is discarded instead, its slot goes to the next of them, which dials the target, however long it has left.

Change: a list is used until its target leaves. Waits and dials end with it, and the time until which a request may be sent is in one place, connList.use: when this host knows that the target has left, no request begins there, however it came to its connection. The pool asks the view, so that no list is made for a target that is not in it. Such an attempt is not counted among those of the route, nor as a failure of the target, and another takes its place without budget, also of requests that must run at most once; without another target the request is refused with 503 at once.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -202,7 +202,7 @@
 	switch {
 	case result.Status != 0 && result.Status < 500 && !result.Reply.NotRun:
 		e.Balancer.Complete(now, a.inFlight, result.Took)
-	case result.Status == 0 && ctx.Err() != nil, errors.Is(result.Err, origin.ErrNoConnection):
+	case result.Status == 0 && ctx.Err() != nil, result.Inconclusive():
 		e.Balancer.Abandon(now, a.inFlight, result.Took)
 	default:
 		e.Balancer.Fail(now, a.inFlight)
@@ -230,7 +230,7 @@
 
 // Retain drops the state of targets that are not in the view.
 func (e *Engine) Retain(view *catalog.View) {
-	e.Pool.Retain(view.Has)
+	e.Pool.Retain()
 	e.endings.retain(view.Has)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -174,7 +174,7 @@
 	h.Metrics.observeEntries(h.reader)
 	h.engine = &Engine{
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.Metrics,
-		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes, Dial: h.DialTarget},
+		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes, Dial: h.DialTarget, Lookup: h.lookup},
 		Balancer:    &balance.Balancer{Zone: s.Zone, Random: newRandom()},
 		Budget:      &retry.Budget{Limit: s.Retries},
 		ColdLimiter: &admit.ColdLimiter{Limit: s.Cold},
@@ -202,6 +202,9 @@
 	h.callers = &callerServer{handler: h.handler}
 }
 
+// lookup returns a target that may get requests, or nil.
+func (h *Host) lookup(id magnoliashore.TargetID) *catalog.Target { return h.reader.View().Target(id) }
+
 // membersChanged receives the running members, this host first.
 func (h *Host) membersChanged(members []membership.Member) {
 	h.hosts.update(members)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -238,6 +238,10 @@
 		r.addResult(i, result)
 		return
 	}
+	if errors.Is(result.Err, origin.ErrTargetGone) {
+		r.replaceAttempt(i, result)
+		return
+	}
 	if result.Reply.NotRun || errors.Is(result.Err, origin.ErrNoConnection) {
 		r.refused++
 	}
@@ -257,6 +261,15 @@
 	r.progress.GiveUp(i)
 }
 
+// replaceAttempt makes an attempt at another target in place of one that was not sent,
+// since its target has left. It needs no budget: the first one has used what it needs.
+func (r *queryRun) replaceAttempt(i int, result origin.Result) {
+	r.recordFailure(i, result)
+	if !r.progress.RecordUnsent(i) || !r.tryShard(i, unsentRetry) {
+		r.progress.GiveUp(i)
+	}
+}
+
 // mayEndTargets reports whether a request whose connection broke must not be sent to
 // another target, since targets ended under the same request before. An end under
 // this request alone does not count: most requests that a target takes along when it
--- a/origin/connlist.go
+++ b/origin/connlist.go
@@ -13,7 +13,12 @@
 var (
 	ErrNoConnection = errors.New("no free connection to the target")
 	ErrConnect      = errors.New("cannot connect to the target")
-	errCanceled     = errors.New("the request was canceled")
+	// ErrTargetGone means that the target is not used any more, so that the request can
+	// go to another one.
+	ErrTargetGone = errors.New("the target has left")
+	// ErrWithdrawn means that the request was withdrawn before it was sent.
+	ErrWithdrawn = errors.New("the request was withdrawn")
+	errCanceled  = errors.New("the request was canceled")
 )
 
 // waiter is a request that waits for a connection.
@@ -22,24 +27,46 @@
 	ready    chan *conn // receives a connection, or nil as permission to open one
 }
 
-// connList holds the connections to one target.
+// connList holds the connections to one target, until the target leaves or has another
+// address. From then on no request is sent over them.
 type connList struct {
 	address    string
 	dialTarget DialFunc
+	gone       context.Context // ends when the list is retired
+	markGone   context.CancelFunc
 
 	mu      sync.Mutex
 	idle    []*conn             // most recently used last
 	busy    map[*conn]time.Time // connections whose request has no answer yet, since when
 	numOpen int                 // open connections, including idle ones, and dials in progress
 	waiting []*waiter           // sorted by priority
-	retired bool                // the target is no longer used
+}
+
+func newConnList(address string, dial DialFunc) *connList {
+	l := &connList{address: address, dialTarget: dial}
+	l.gone, l.markGone = context.WithCancel(context.Background())
+	return l
+}
+
+// limits bound how many connections of a list are used, and how long an attempt waits
+// for one.
+type limits struct {
+	priority   int
+	maxOpen    int
+	maxWaiting int
+	withdraw   <-chan struct{} // closed when the request must not be sent any more
 }
 
 // acquire returns an idle connection, opens one if fewer than maxOpen are open,
 // or waits for one unless maxWaiting requests already wait. Waiting requests are
-// served in order of priority, the lowest first.
-func (l *connList) acquire(ctx context.Context, now time.Time, priority, maxOpen, maxWaiting int) (*conn, error) {
+// served in order of priority, the lowest first. The wait ends when the list is retired
+// or the request is withdrawn.
+func (l *connList) acquire(ctx context.Context, now time.Time, limits limits) (*conn, error) {
 	l.mu.Lock()
+	if l.gone.Err() != nil {
+		l.mu.Unlock()
+		return nil, ErrTargetGone
+	}
 	for len(l.idle) > 0 {
 		c := l.idle[len(l.idle)-1]
 		l.idle = l.idle[:len(l.idle)-1]
@@ -50,25 +77,26 @@
 		l.numOpen--
 		_ = c.Close()
 	}
-	if l.numOpen < maxOpen {
+	if l.numOpen < limits.maxOpen {
 		l.numOpen++
 		l.mu.Unlock()
 		return l.dial(ctx)
 	}
-	if len(l.waiting) >= maxWaiting {
+	if len(l.waiting) >= limits.maxWaiting {
 		l.mu.Unlock()
 		return nil, ErrNoConnection
 	}
-	w := &waiter{priority: priority, ready: make(chan *conn, 1)}
-	i, _ := slices.BinarySearchFunc(l.waiting, priority+1, func(x *waiter, p int) int { return x.priority - p })
+	w := &waiter{priority: limits.priority, ready: make(chan *conn, 1)}
+	i, _ := slices.BinarySearchFunc(l.waiting, limits.priority+1, func(x *waiter, p int) int { return x.priority - p })
 	l.waiting = slices.Insert(l.waiting, i, w)
 	l.mu.Unlock()
-	return l.wait(ctx, w)
+	return l.wait(ctx, w, limits.withdraw)
 }
 
 // wait waits until w receives a connection, or the permission to open one, or
-// until ctx ends.
-func (l *connList) wait(ctx context.Context, w *waiter) (*conn, error) {
+// until there is no use in waiting.
+func (l *connList) wait(ctx context.Context, w *waiter, withdraw <-chan struct{}) (*conn, error) {
+	cause := ErrNoConnection
 	select {
 	case c := <-w.ready:
 		if c != nil {
@@ -76,6 +104,10 @@
 		}
 		return l.dial(ctx)
 	case <-ctx.Done():
+	case <-l.gone.Done():
+		cause = ErrTargetGone
+	case <-withdraw:
+		cause = ErrWithdrawn
 	}
 	l.mu.Lock()
 	i := slices.Index(l.waiting, w)
@@ -84,35 +116,53 @@
 	}
 	l.mu.Unlock()
 	if i >= 0 {
-		return nil, ErrNoConnection
+		return nil, cause
 	}
-	// The connection was handed over just as ctx ended.
+	// The connection was handed over just as the wait ended.
 	if c := <-w.ready; c != nil {
 		l.put(c)
 	} else {
 		l.release()
 	}
-	return nil, ErrNoConnection
+	return nil, cause
 }
 
-// dial opens a connection that numOpen already counts.
+// dial opens a connection that numOpen already counts. It ends when the list is
+// retired.
 func (l *connList) dial(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(l.gone, cancel)()
 	c, err := l.dialTarget(ctx, "tcp4", l.address)
 	if err != nil {
 		l.release()
+		if l.gone.Err() != nil {
+			return nil, errors.Mark(err, ErrTargetGone)
+		}
 		return nil, errors.Mark(errors.Wrapf(err, "connecting to %s", l.address), ErrConnect)
 	}
 	return newConn(c), nil
 }
 
-// use records that a request is sent on a connection at now.
-func (l *connList) use(c *conn, now time.Time) {
+// use records that a request is sent on a connection at now. It returns an error if the
+// request must not be sent, since the list was retired or the request withdrawn
+// meanwhile: this is the last time that an attempt looks.
+func (l *connList) use(c *conn, now time.Time, withdraw <-chan struct{}) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.gone.Err() != nil {
+		return ErrTargetGone
+	}
+	select {
+	case <-withdraw:
+		return ErrWithdrawn
+	default:
+	}
 	if l.busy == nil {
 		l.busy = make(map[*conn]time.Time)
 	}
 	l.busy[c] = now
+	return nil
 }
 
 // endUse records that the request on a connection has an answer, or will have none.
@@ -170,7 +220,7 @@
 		_ = c.Close()
 		return
 	}
-	if l.retired {
+	if l.gone.Err() != nil {
 		l.numOpen--
 		_ = c.Close()
 		return
@@ -182,10 +232,10 @@
 	l.idle = append(l.idle, c)
 }
 
-// nextWaiter removes and returns the most urgent waiter; nil if there is none.
-// The caller holds l.mu.
+// nextWaiter removes and returns the most urgent waiter; nil if there is none. Those of
+// a retired list give up by themselves. The caller holds l.mu.
 func (l *connList) nextWaiter() *waiter {
-	if len(l.waiting) == 0 {
+	if len(l.waiting) == 0 || l.gone.Err() != nil {
 		return nil
 	}
 	w := l.waiting[0]
@@ -193,12 +243,12 @@
 	return w
 }
 
-// retire closes the idle connections. The others are closed when they are
-// returned.
+// retire ends the attempts that have not sent their request yet, and closes the idle
+// connections. The others are closed when they are returned.
 func (l *connList) retire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.retired = true
+	l.markGone()
 	l.closeIdle()
 }
 
--- a/origin/ended.go
+++ b/origin/ended.go
@@ -20,16 +20,15 @@
 // known to have ended. A connection that opens is kept for reuse if fewer than
 // maxConnections are open.
 func (p *Pool) HasEnded(ctx context.Context, t *catalog.Target, maxConnections int) bool {
-	l := p.connsTo(t)
 	for range 2 {
-		raw, err := l.dialTarget(ctx, "tcp4", l.address)
+		raw, err := p.dial()(ctx, "tcp4", t.Address())
 		if err != nil {
 			return errors.Is(err, unix.ECONNREFUSED)
 		}
 		c := newConn(raw)
 		p.Timer.Sleep(settleAfterEnd)
 		if !c.readable() {
-			l.adopt(c, p.Timer.Now(), maxConnections)
+			p.adopt(c, t, maxConnections)
 			return false
 		}
 		_ = c.Close()
@@ -57,10 +56,20 @@
 	}
 }
 
+// adopt keeps a connection to a target for reuse, unless the target has left.
+func (p *Pool) adopt(c *conn, t *catalog.Target, maxConnections int) {
+	l, err := p.connsTo(t)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	l.adopt(c, p.Timer.Now(), maxConnections)
+}
+
 // adopt takes over a connection that was opened beside the others.
 func (l *connList) adopt(c *conn, now time.Time, maxOpen int) {
 	l.mu.Lock()
-	room := l.numOpen < maxOpen && !l.retired
+	room := l.numOpen < maxOpen && l.gone.Err() == nil
 	if room {
 		l.numOpen++
 	}
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -32,13 +32,11 @@
 // connection, which cancels the request at the target.
 func (p *Pool) Do(ctx context.Context, req Request, attempt Attempt) Result {
 	start := p.Timer.Now()
-	l := p.connsTo(attempt.Target)
-	c, err := l.acquire(ctx, start, req.Priority, attempt.MaxConnections, attempt.MaxWaiting)
+	l, c, err := p.connection(ctx, start, req, attempt)
 	if err != nil {
 		return Result{Target: attempt.Target, Err: err, Took: p.Timer.Now().Sub(start)}
 	}
 	connected := p.Timer.Now()
-	l.use(c, connected)
 	if attempt.OnSend != nil {
 		attempt.OnSend()
 	}
@@ -68,6 +66,25 @@
 	return result
 }
 
+// connection returns a connection over which the request may be sent, and its list.
+func (p *Pool) connection(ctx context.Context, now time.Time, req Request, attempt Attempt) (*connList, *conn, error) {
+	l, err := p.connsTo(attempt.Target)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := l.acquire(ctx, now, limits{
+		priority: req.Priority, maxOpen: attempt.MaxConnections, maxWaiting: attempt.MaxWaiting, withdraw: attempt.Withdraw,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := l.use(c, p.Timer.Now(), attempt.Withdraw); err != nil {
+		l.put(c)
+		return nil, nil, err
+	}
+	return l, c, nil
+}
+
 // reuseAfterWrite returns a connection for reuse once the request body is fully
 // written: a target that answers early may still be reading the body. The end of
 // a write that is almost done is awaited, so that the next request finds the
--- a/origin/exchange_test.go
+++ b/origin/exchange_test.go
@@ -98,6 +98,7 @@
 	pool           *origin.Pool
 	target         *catalog.Target
 	maxConnections int
+	withdraw       <-chan struct{}
 }
 
 func newCaller(s *fakeTarget) *caller {
@@ -111,7 +112,7 @@
 	}
 	return c.pool.Do(ctx, origin.Request{
 		Method: method, URI: "/x/?q=%2f", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body), ID: id,
-	}, origin.Attempt{Target: c.target, Timeout: time.Second, MaxConnections: c.maxConnections, MaxWaiting: 1})
+	}, origin.Attempt{Target: c.target, Timeout: time.Second, MaxConnections: c.maxConnections, MaxWaiting: 1, Withdraw: c.withdraw})
 }
 
 func wantStatus(t *testing.T, what string, got origin.Result, want int) {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -45,6 +45,9 @@
 	MaxConnections int           // limit on this host's connections to the target
 	MaxWaiting     int           // limit on requests waiting for a connection
 	OnSend         func()        // called just before the request is sent; may be nil
+	// Withdraw is closed when the request must not be sent any more, if it is not yet;
+	// nil for never.
+	Withdraw <-chan struct{}
 }
 
 // Result is the outcome of an attempt.
@@ -65,6 +68,12 @@
 // a complete answer, so that the target may have ended while it ran the request.
 func (r Result) Broken() bool { return r.Sent && r.Status == 0 && ConnectionEnded(r.Err) }
 
+// Inconclusive reports whether the attempt says nothing about its target: this host has
+// not tried to reach it.
+func (r Result) Inconclusive() bool {
+	return errors.IsAny(r.Err, ErrNoConnection, ErrTargetGone, ErrWithdrawn)
+}
+
 // ConnectionEnded reports whether err says that the other side ended a connection.
 func ConnectionEnded(err error) bool {
 	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, unix.ECONNRESET, unix.EPIPE)
@@ -89,6 +98,10 @@
 	// MaxBuffered is the number of bytes of an answer to buffer before it is
 	// streamed as a Tail, if the request allows one; zero disables streaming.
 	MaxBuffered int64
+	// Lookup returns a target that may get requests, or nil. As soon as it does not
+	// return the target of an attempt, or returns it with another address, and Retain
+	// was called, the request is not sent. If Lookup is nil, all targets may get requests.
+	Lookup func(id magnoliashore.TargetID) *catalog.Target
 	// Dial opens connections to targets; nil for TCP with the timeouts of this package.
 	Dial DialFunc
 
@@ -107,9 +120,10 @@
 	return tcp.Dialer(dialTimeout, userTimeout).DialContext
 }
 
-// connsTo returns the connections to a target. If its address has changed, the
-// connections to the old address are retired.
-func (p *Pool) connsTo(t *catalog.Target) *connList {
+// connsTo returns the connections to a target, or ErrTargetGone if it has left or has
+// another address by now. If its address has changed, the connections to the former
+// address are retired.
+func (p *Pool) connsTo(t *catalog.Target) (*connList, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
@@ -117,14 +131,26 @@
 	}
 	l, ok := p.conns[t.ID()]
 	if ok && l.address == t.Address() {
-		return l
+		return l, nil
+	}
+	if !p.uses(t.ID(), t.Address()) {
+		return nil, ErrTargetGone
 	}
 	if ok {
 		l.retire()
 	}
-	l = &connList{address: t.Address(), dialTarget: p.dial()}
+	l = newConnList(t.Address(), p.dial())
 	p.conns[t.ID()] = l
-	return l
+	return l, nil
+}
+
+// uses reports whether a target may get requests at an address.
+func (p *Pool) uses(id magnoliashore.TargetID, address string) bool {
+	if p.Lookup == nil {
+		return true
+	}
+	t := p.Lookup(id)
+	return t != nil && t.Address() == address
 }
 
 // answerPatience is how long a request may be without an answer before its connection
@@ -142,12 +168,13 @@
 	}
 }
 
-// Retain drops the targets that are not known and closes their idle connections.
-func (p *Pool) Retain(known func(id magnoliashore.TargetID) bool) {
+// Retain drops the targets that Lookup does not return any more, or returns with another
+// address. It must be called after each change of them.
+func (p *Pool) Retain() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, l := range p.conns {
-		if known(id) {
+		if p.uses(id, l.address) {
 			continue
 		}
 		l.retire()
--- a/scatter/progress.go
+++ b/scatter/progress.go
@@ -119,6 +119,14 @@
 	return s.attempts < p.params.MaxAttempts && (!p.params.AtMostOnce || !s.mayHaveRun)
 }
 
+// RecordUnsent records that an attempt at a shard was not sent, since its target left
+// before. It counts as if it had not been made. RecordUnsent reports whether another
+// attempt may be made in its place.
+func (p *Progress) RecordUnsent(i int) bool {
+	p.shards[i].attempts--
+	return p.RecordFailure(i, false)
+}
+
 // GiveUp records that no further attempt at a shard will be made. It has no
 // effect while an attempt is in flight, which may still yield a partial result.
 func (p *Progress) GiveUp(i int) {
