fix(gateway): answer all requests before a graceful stop ends

Cause: the stop waits for the callers' connections only, refuses just requests that arrive later than 2.5 s after it began, and then closes what is left. What waits for admission, for a connection or for another host has no part in it.

From the time at which new requests are refused, those that were not sent to a target yet are withdrawn and refused with 503, whatever they wait for; origin decides at the last moment before the first byte, so that the refusal is true. Attempts of a request that was sent to some target go on. At the end of the grace time, what still runs gets 502 in place of a closed connection.

--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -27,6 +27,7 @@
 			ID: request.ID, Priority: request.Priority,
 		},
 		received: now, kind: request.Kind, services: request.Shards, deadline: now.Add(request.Timeout), topK: request.TopK, scatter: true,
+		withdrawn: make(chan struct{}),
 		params: scatter.Params{
 			Shards: len(request.Shards), MinShards: 1, MaxAttempts: request.MaxAttempts, HedgeAfter: request.HedgeAfter, Timeout: request.Timeout,
 		},
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -79,6 +79,7 @@
 	cutBegan    chan struct{}                        // closed when the next cut is found; nil if nobody waits
 
 	inFlight     inFlight
+	stop         *stop // of this host
 	endings      endings
 	suspects     suspects
 	observations observationLimit
@@ -162,7 +163,7 @@
 	limit := e.maxConnections(a.target)
 	result := e.Pool.Do(ctx, q.request, origin.Attempt{
 		Target: a.target, Timeout: q.deadline.Sub(e.Timer.Now()), MaxConnections: limit, MaxWaiting: limit * maxWaitingPerConnection,
-		OnSend: q.recordSend,
+		OnSend: q.recordSend, Withdraw: q.withdrawn,
 	})
 	e.Metrics.attempts.Inc()
 	if result.NewConnection {
--- a/gateway/engine_test.go
+++ b/gateway/engine_test.go
@@ -42,6 +42,7 @@
 		Log: &log.Logger{Handler: discard.New()}, Metrics: NewMetrics(),
 		Balancer: &balance.Balancer{Zone: "a"}, Budget: &retry.Budget{Limit: limit},
 		ColdLimiter: &admit.ColdLimiter{Limit: admit.ColdLimit{Overshoot: 1, Slack: 0}},
+		stop:        newStop(),
 	}
 }
 
@@ -288,7 +289,7 @@
 	size := gateSize{slots: 1, hosts: 2}
 	var admitted []admission
 	enter := func(wait time.Duration) (admission, time.Duration, bool) {
-		return g.admit(context.Background(), "k", size, 1, wait, 300*time.Millisecond)
+		return g.admit(context.Background(), "k", size, 1, wait, 300*time.Millisecond, nil)
 	}
 	for {
 		p, retryAfter, ok := enter(10 * time.Millisecond)
@@ -312,14 +313,14 @@
 	g := &gates{timer: &timer.Service{}}
 	size := gateSize{slots: 1, hosts: 100}
 	for {
-		if _, _, ok := g.admit(context.Background(), "k", size, 1, 0, 0); !ok {
+		if _, _, ok := g.admit(context.Background(), "k", size, 1, 0, 0, nil); !ok {
 			break
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
 	began := time.Now()
-	if _, _, ok := g.admit(ctx, "k", size, 1, 5*time.Second, 0); ok {
+	if _, _, ok := g.admit(ctx, "k", size, 1, 5*time.Second, 0, nil); ok {
 		t.Error("query admitted, want it refused")
 	}
 	if got := time.Since(began); got > time.Second {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,9 +49,11 @@
 	defer end()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer context.AfterFunc(h.stop.ending, func() { cancel(errStops) })()
 	fellows := h.Engine.Hosts.Fellows()
 	reason := "this host is cut off from the targets, and no other host takes the request on"
 	q.setStage(waitsForHost)
+	q.sending.Store(true)
 	for _, peer := range fellows[:min(len(fellows), maxFellows)] {
 		overdue := h.Engine.Timer.Call(h.Engine.timeUntil(q.received.Add(q.params.Timeout+answerMargin/2)), func() { cancel(errNoAnswer) })
 		resp, err := h.Forwarder.Forward(ctx, peer, h.forwardedRequest(q))
@@ -84,7 +86,7 @@
 
 // failureStatus returns the status for a request that another host may have run.
 func failureStatus(ctx context.Context) int {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStops) {
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
@@ -156,7 +158,7 @@
 	switch {
 	case route == nil:
 		err = errNoRoute // the other host may know a later configuration
-	case h.Refusing():
+	case started(h.stop.refusing):
 		err = errIsStopping
 	default:
 		err = h.serveForwarded(w, r, route, timeout, elapsed)
--- a/gateway/gates.go
+++ b/gateway/gates.go
@@ -49,10 +49,12 @@
 	running int
 }
 
-// admit waits until a query may run, for at most wait. If the query is refused,
+// admit waits until a query may run, for at most wait or until withdraw is closed. If the query is refused,
 // admit returns false and the time after which the caller may retry, at most
 // maxRetryAfter.
-func (g *gates) admit(ctx context.Context, key string, size gateSize, priority int, wait, maxRetryAfter time.Duration) (admission, time.Duration, bool) {
+func (g *gates) admit(ctx context.Context, key string, size gateSize, priority int, wait, maxRetryAfter time.Duration,
+	withdraw <-chan struct{},
+) (admission, time.Duration, bool) {
 	g.mu.Lock()
 	current := g.gate(key)
 	current.Resize(size.slots, size.hosts)
@@ -73,6 +75,7 @@
 		return a, 0, true
 	case <-timeout.C:
 	case <-ctx.Done():
+	case <-withdraw:
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -32,13 +32,12 @@
 	Dialect  magnoliashore.Dialect
 	Splitter *balance.Splitter
 	Log      log.Interface
-	Stopping func() bool          // this host is shutting down
 	DataAge  func() time.Duration // time since the last data from the store
-	Refusing func() bool          // requests are refused, since this host stops soon
 
 	Forwarder *relay.Forwarder
 
 	gates     *gates
+	stop      *stop
 	forwarded chan struct{} // holds one element per request of another host that runs
 }
 
@@ -46,7 +45,7 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.Stopping() {
+	if started(h.stop.stopping) {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.Engine.View()
@@ -61,8 +60,8 @@
 		http.Error(w, "no route", http.StatusNotFound)
 		return
 	}
-	if h.Refusing() {
-		h.refuse(w, r, retryAfterShort, "this host is about to stop")
+	if started(h.stop.refusing) {
+		h.refuse(w, r, retryAfterShort, errIsStopping.Error())
 		return
 	}
 	received := h.Engine.Timer.Now()
@@ -116,6 +115,10 @@
 		h.Engine.Metrics.abandoned.Inc()
 		return
 	}
+	if !ok && started(h.stop.refusing) {
+		h.refuse(w, r, retryAfterShort, errIsStopping.Error())
+		return
+	}
 	if !ok {
 		h.refuse(w, r, retryAfter, "targets have too much work: "+admitted.String())
 		return
@@ -178,7 +181,7 @@
 	size := groupSize(h.Engine.View(), q.services, h.Engine.Hosts.HostCount())
 	wait := time.Duration(maxWaitShare * float64(route.Objective()))
 	maxRetryAfter := time.Duration(maxRetryAfterShare * float64(q.params.Timeout))
-	return h.gates.admit(ctx, key, size, route.Priority(), wait, maxRetryAfter)
+	return h.gates.admit(ctx, key, size, route.Priority(), wait, maxRetryAfter, q.withdrawn)
 }
 
 // limitRetryAfter returns the retry-after for a query that is over a limit.
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -37,11 +37,6 @@
 	// Part of an answer that is buffered before it is passed on. If the target
 	// fails within it, another target can be tried.
 	maxBufferedBytes = 1 << 20
-	// Part of the shutdown grace time that is left for the last answers.
-	shutdownMargin = 700 * time.Millisecond
-	// Time after the start of the shutdown from which requests are refused:
-	// callers should use other hosts by then.
-	refuseAfter = 2500 * time.Millisecond
 	// How long callers may cache host addresses.
 	directoryMaxAge = 2 * time.Second
 	// How long a target whose entry is missing is kept, as a share of the drain
@@ -86,16 +81,16 @@
 	joined   chan struct{} // closed when another host is found
 	joinOnce sync.Once
 
-	reader    *registry.Reader
-	members   *membership.Node
-	hosts     *hosts
-	engine    *Engine
-	notices   *notices
-	reach     *reachability
-	handler   *Handler
-	callers   *callerServer
-	stopBegan atomic.Int64 // start of the shutdown in nanoseconds since started; zero before it
-	started   time.Time
+	reader  *registry.Reader
+	members *membership.Node
+	hosts   *hosts
+	engine  *Engine
+	notices *notices
+	reach   *reachability
+	handler *Handler
+	callers *callerServer
+	stop    *stop
+	started time.Time
 }
 
 // Run serves until ctx ends, then stops gracefully.
@@ -108,8 +103,8 @@
 	h.Log.WithFields(log.Fields{
 		"zone": string(h.Settings.Zone), "caller": h.Settings.Caller, "peer": h.Settings.Peer, "store": h.Settings.Store,
 	}).Info("started")
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { h.watchSettings(work); return nil })
 	group.Go(func() error { return h.reader.Run(work) })
@@ -129,7 +124,7 @@
 		}
 		h.shutDown()
 		_ = listeners[0].Close()
-		stop()
+		stopWork()
 		return nil
 	})
 	err = group.Wait()
@@ -142,6 +137,7 @@
 	s := h.Settings
 	h.settings.Store(&s)
 	h.started = h.Timer.Now()
+	h.stop = newStop()
 	self := membership.MemberSpec{
 		Host: s.Host, Zone: s.Zone, Peer: s.Peer, Caller: s.Caller, Cores: s.Cores,
 		Incarnation: magnoliashore.Incarnation(h.started.UnixMilli()),
@@ -179,6 +175,7 @@
 		Budget:      &retry.Budget{Limit: s.Retries},
 		ColdLimiter: &admit.ColdLimiter{Limit: s.Cold},
 		reportDue:   make(chan struct{}, 1),
+		stop:        h.stop,
 	}
 	h.notices = &notices{
 		self: s.Peer, engine: h.engine, issuer: h.hosts.Issuer, notify: h.members.Notify, timer: h.Timer, log: h.Log,
@@ -195,9 +192,8 @@
 	h.handler = &Handler{
 		Forwarder: relay.NewForwarder(), forwarded: make(chan struct{}, forwardedRequests(h.hosts.self)),
 		gates: &gates{timer: h.Timer}, Engine: h.engine, Dialect: h.Dialect, Splitter: &balance.Splitter{}, Log: h.Log,
-		DataAge:  h.reader.Age,
-		Stopping: func() bool { return h.stoppingFor() > 0 },
-		Refusing: func() bool { return h.stoppingFor() > refuseAfter },
+		DataAge: h.reader.Age,
+		stop:    h.stop,
 	}
 	h.callers = &callerServer{handler: h.handler}
 }
@@ -289,7 +285,7 @@
 }
 
 // ready reports whether callers may use this host.
-func (h *Host) ready() bool { return h.stoppingFor() == 0 && h.reader.View().Config() != nil }
+func (h *Host) ready() bool { return !started(h.stop.stopping) && h.reader.View().Config() != nil }
 
 // addresses returns the addresses for callers of a zone and how long callers
 // may cache them.
@@ -297,36 +293,6 @@
 	return callerAddresses(h.members.Members(), zone), min(directoryMaxAge, h.settings.Load().Refresh)
 }
 
-// stoppingFor returns the time since the start of the shutdown, or zero before
-// it.
-func (h *Host) stoppingFor() time.Duration {
-	began := h.stopBegan.Load()
-	if began == 0 {
-		return 0
-	}
-	return max(h.Timer.Now().Sub(h.started)-time.Duration(began), 1)
-}
-
-// shutDown leaves the membership, so that callers use other hosts, and waits for
-// the requests in flight.
-func (h *Host) shutDown() {
-	h.stopBegan.Store(int64(h.Timer.Now().Sub(h.started)))
-	h.members.Leave()
-	grace := h.settings.Load().Grace
-	h.Log.WithField("grace", grace.String()).Info("stopping")
-	wait := h.Timer.After(grace - 2*shutdownMargin)
-	<-wait.C
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin)
-	defer cancel()
-	if err := h.callers.shutdown(ctx); err != nil {
-		h.Log.WithError(err).Warn("requests were still in flight at the end of the grace time")
-		h.engine.inFlight.log(h.Log, h.Timer.Now())
-	}
-	if err := h.callers.close(); err != nil {
-		h.Log.WithError(err).Warn("cannot close the connections of callers")
-	}
-}
-
 // serve serves handler until ctx ends.
 func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout}
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -45,6 +45,8 @@
 type inFlight struct {
 	mu      sync.Mutex
 	queries map[*query]struct{}
+	empty   chan struct{} // closed when no request is left; nil if nobody waits
+	refused bool          // requests that are not sent yet must not be
 }
 
 func (f *inFlight) add(q *query) {
@@ -54,12 +56,49 @@
 		f.queries = make(map[*query]struct{})
 	}
 	f.queries[q] = struct{}{}
+	if f.refused {
+		close(q.withdrawn)
+	}
 }
 
 func (f *inFlight) remove(q *query) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.queries, q)
+	if len(f.queries) == 0 && f.empty != nil {
+		close(f.empty)
+		f.empty = nil
+	}
+}
+
+// drained returns a channel that is closed when no request is in flight.
+func (f *inFlight) drained() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.queries) == 0 {
+		none := make(chan struct{})
+		close(none)
+		return none
+	}
+	if f.empty == nil {
+		f.empty = make(chan struct{})
+	}
+	return f.empty
+}
+
+// withdraw withdraws the requests that were not sent to a target yet, and those that
+// begin from now on. It returns how many there are, and how many are in flight.
+func (f *inFlight) withdraw() (waiting, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refused = true
+	for q := range f.queries {
+		if !q.sending.Load() {
+			close(q.withdrawn)
+			waiting++
+		}
+	}
+	return waiting, len(f.queries)
 }
 
 // log logs the requests in flight and what each of them waits for, the oldest first.
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -43,6 +43,7 @@
 	sent      atomic.Bool // an attempt that was sent to a target has ended
 	sending   atomic.Bool // an attempt was sent to a target, or the query to another host
 	stage     atomic.Int32
+	withdrawn chan struct{} // closed if the query must not be sent any more, since this host stops; nil for never
 
 	digestOnce sync.Once
 	digestSum  suspect.Digest
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -36,8 +36,9 @@
 			ID: callerParams.ID, Priority: route.Priority(), AllowTail: !route.Scatters(),
 		},
 		received: received, kind: route.Name(), deadline: deadline, streamUntil: received.Add(streamTime),
-		params: scatterParams(route, max(timeout-answerMargin, timeout/2)),
-		topK:   route.TopK(), scatter: route.Scatters(), useHelpers: route.Scatters(),
+		params:    scatterParams(route, max(timeout-answerMargin, timeout/2)),
+		withdrawn: make(chan struct{}),
+		topK:      route.TopK(), scatter: route.Scatters(), useHelpers: route.Scatters(),
 	}
 	q.services = route.Shards()
 	if !route.Scatters() {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -135,6 +135,7 @@
 		request: q.request, received: q.received, kind: q.kind, services: []magnoliashore.ServiceName{services[rand.IntN(len(services))]},
 		params:   scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1, Timeout: q.params.Timeout},
 		deadline: q.deadline, topK: q.topK, scatter: true, suspected: true, trial: q.trial,
+		withdrawn: q.withdrawn,
 	}
 }
 
@@ -170,6 +171,10 @@
 				r.abort()
 				return scatter.Fail, true
 			}
+		case <-r.engine.stop.ending.Done():
+			wake.Stop()
+			r.abort()
+			return scatter.Fail, true
 		case <-wake.C:
 		case <-ctx.Done():
 			wake.Stop()
@@ -242,6 +247,12 @@
 		r.replaceAttempt(i, result)
 		return
 	}
+	if errors.Is(result.Err, origin.ErrWithdrawn) {
+		r.recordFailure(i, result)
+		r.progress.RecordFailure(i, false)
+		r.progress.GiveUp(i)
+		return
+	}
 	if result.Reply.NotRun || errors.Is(result.Err, origin.ErrNoConnection) {
 		r.refused++
 	}
