fix(tcp): go on accepting connections after an error that passes

Cause: callerServer.run returns each error of Accept but that of a closed listener, and the error group of Host.Run then ends the process. The other listeners (other hosts, readiness, directory, metrics, and those of the product's own interface) go through net/http, which waits after EMFILE and ENFILE, but returns on ENOBUFS, ENOMEM and others; that ends the process as well. No error of Accept is one that a restart mends, and a lack of descriptors passes as soon as any connection closes.

Change: tcp.Acceptor stands between each listener and its server. It tries again after 5 to 200 ms until the listener is closed, and logs the first failure, one line in 5 s, and the end. No other error reaches the error group of Host.Run while the host serves: reader and members return none.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -266,7 +266,7 @@
 		if err != nil {
 			return nil, magnoliashore.Step(err, "listen", address)
 		}
-		listeners = append(listeners, l)
+		listeners = append(listeners, &tcp.Acceptor{Listener: l, Timer: h.Timer, Log: h.Log})
 	}
 	return listeners, nil
 }
--- a/httpd/httpd.go
+++ b/httpd/httpd.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/tcp"
+	"github.com/magnoliashore/magnoliashore/timer"
 )
 
 // Server serves HTTP on one address. The zero value is ready to use.
@@ -31,7 +32,7 @@
 	}
 	s.setListening(listener.Addr().String())
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(listener) }()
+	go func() { serveErr <- server.Serve(&tcp.Acceptor{Listener: listener, Timer: &timer.Service{}}) }()
 	select {
 	case err := <-serveErr:
 		return magnoliashore.Step(err, "serve", s.Addr())
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/tcp"
+	"github.com/magnoliashore/magnoliashore/timer"
 )
 
 // Handler processes the messages of other hosts.
@@ -62,7 +63,7 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err := server.Serve(s.listener)
+	err := server.Serve(&tcp.Acceptor{Listener: s.listener, Timer: &timer.Service{}})
 	s.serving.Wait()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/standin/server.go
+++ b/standin/server.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/tcp"
+	"github.com/magnoliashore/magnoliashore/timer"
 )
 
 const (
@@ -54,7 +56,7 @@
 
 func (s *server) start(listener net.Listener) {
 	s.listener = listener
-	go func() { s.done <- s.http.Serve(listener) }()
+	go func() { s.done <- s.http.Serve(&tcp.Acceptor{Listener: listener, Timer: &timer.Service{}}) }()
 }
 
 // waitForServers returns nil when ctx ends, or the error of the first server
