fix(gateway): bound the connections of callers by the descriptors that are left

Cause: nothing keeps callers from using up the descriptors that targets, other hosts, the store, the directory and readiness need. limits.maxFds was not read.

At the bound of callers, a new connection takes the place of the one that has been idle for longest, and never of one whose request has begun: the read of its first byte and the choice of a connection to close exclude each other, so that no request is passed on whose connection is being closed. Near the bound answers close their connections, so that callers spread.

A lack of descriptors (also of ports or memory) in a dial says nothing about the other side: it is no failure of the target, ends no target, blames no request, makes a test of reach void in place of finding this host cut off, and does not count against a host to which a request could not be passed on. The dial closes the idle connections to targets and is tried once more; then the request, which was not sent, is refused.

Related paths: the source of entries counts a failed call, for whatever reason, and prefers another source for up to seconds; the shares leave it descriptors, so that this was not changed. A host near its bound stays in the directory: its callers choose at random among all addresses, and its room is not known to others.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -184,6 +184,10 @@
 		e.Log.WithFields(log.Fields{"request": q.request.ID, "target": string(t.ID())}).WithError(result.Err).
 			Warn("answer of a target is too long; its connection is closed")
 	}
+	if errors.Is(result.Err, origin.ErrExhausted) {
+		e.Metrics.exhausted.Inc()
+		e.Log.WithFields(log.Fields{"request": q.request.ID, "target": string(t.ID())}).WithError(result.Err).Warn("request not sent: this host lacks descriptors")
+	}
 	if result.Broken() && ctx.Err() == nil {
 		e.connectionBroke(q, t)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/membership"
 	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
 const (
@@ -76,7 +77,7 @@
 			writeFailure(w, failureStatus(ctx), 0)
 			return
 		}
-		if errors.Is(err, relay.ErrNotSent) {
+		if errors.Is(err, relay.ErrNotSent) && !tcp.Exhausted(err) {
 			h.Engine.Hosts.RecordHelp(peer, false)
 		}
 		reason = err.Error()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -111,6 +111,7 @@
 	group.Go(func() error { return h.members.Run(work) })
 	group.Go(func() error { h.notices.run(work); return nil })
 	group.Go(func() error { h.reach.run(work); return nil })
+	group.Go(func() error { h.boundCallers(work); return nil })
 	group.Go(func() error { return h.callers.run(listeners[0]) })
 	for i, handler := range h.handlers() {
 		group.Go(func() error { return serve(work, listeners[i+1], handler) })
@@ -195,7 +196,8 @@
 		DataAge: h.reader.Age,
 		stop:    h.stop,
 	}
-	h.callers = &callerServer{handler: h.handler}
+	h.callers = &callerServer{handler: h.handler, conns: newCallerConns(h.Timer, h.Log, h.Metrics)}
+	h.Metrics.observeCallers(h.callers.conns)
 }
 
 // lookup returns a target that may get requests, or nil.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,10 @@
 	suspectsCleared *metrics.Counter
 	noticesDropped  *metrics.Counter // notices of other hosts that found a full queue
 
+	callersEvicted  *metrics.Counter // idle connections of callers that were closed to make room
+	callersRejected *metrics.Counter // new connections of callers that found no room
+	exhausted       *metrics.Counter // attempts for which this host had no descriptor left
+
 	cuts            *metrics.Counter // times that this host was cut off from the targets of a zone
 	forwarded       *metrics.Counter // requests that other hosts ran for this one
 	forwardedFailed *metrics.Counter // of these, without an answer
@@ -76,6 +80,10 @@
 		suspectsCleared: s.NewCounter("magnoliashore_gateway_suspects_cleared_total"),
 		noticesDropped:  s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
 
+		callersEvicted:  s.NewCounter("magnoliashore_gateway_callers_evicted_total"),
+		callersRejected: s.NewCounter("magnoliashore_gateway_callers_rejected_total"),
+		exhausted:       s.NewCounter("magnoliashore_gateway_exhausted_total"),
+
 		cuts:            s.NewCounter("magnoliashore_gateway_cuts_total"),
 		forwarded:       s.NewCounter("magnoliashore_gateway_forwarded_total"),
 		forwardedFailed: s.NewCounter("magnoliashore_gateway_forwarded_failed_total"),
@@ -87,6 +95,11 @@
 	}
 }
 
+// observeCallers exports how many connections callers have.
+func (m *Metrics) observeCallers(s *callerConns) {
+	m.set.NewGauge("magnoliashore_gateway_callers", func() float64 { return float64(s.count()) })
+}
+
 // observeEntries exports the position up to which a reader has read, the version
 // of the configuration in force, and how many outdated items it has skipped.
 func (m *Metrics) observeEntries(r *registry.Reader) {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/admit"
 	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/notice"
+	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/reach"
 	"github.com/magnoliashore/magnoliashore/ring"
 	"github.com/magnoliashore/magnoliashore/timer"
@@ -53,7 +55,7 @@
 	from    string
 	number  uint64
 	reached int
-	late    bool // this host lacked processor time
+	void    string // why this host could not test its connections; empty if it could
 }
 
 // reachability finds out which zones' targets this host is cut off from.
@@ -121,8 +123,15 @@
 	test.outcome.Tried = len(tried)
 	number := r.lastNumber
 	go func() {
-		reached := r.connect(ctx, tried)
-		r.inbox.Push(testEvent{number: number, reached: reached, late: r.timer.Now().Sub(now) > testDialTimeout+maxTestDelay})
+		reached, err := r.connect(ctx, tried)
+		event := testEvent{number: number, reached: reached}
+		switch {
+		case err != nil:
+			event.void = err.Error()
+		case r.timer.Now().Sub(now) > testDialTimeout+maxTestDelay:
+			event.void = "lack of processor time"
+		}
+		r.inbox.Push(event)
 	}()
 	peers := r.peers()
 	for _, peer := range peers[:min(len(peers), testPeers)] {
@@ -130,21 +139,33 @@
 	}
 }
 
-// connect returns how many of the targets a connection could be opened to.
-func (r *reachability) connect(ctx context.Context, targets []*catalog.Target) int {
+// connect returns how many of the targets a connection could be opened to. It returns an
+// error if this host cannot open connections at all.
+func (r *reachability) connect(ctx context.Context, targets []*catalog.Target) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, testDialTimeout)
 	defer cancel()
-	connected := make(chan bool, len(targets))
+	type outcome struct {
+		ok  bool
+		err error
+	}
+	outcomes := make(chan outcome, len(targets))
 	for _, t := range targets {
-		go func() { connected <- r.engine.Pool.Connects(ctx, t) }()
+		go func() {
+			ok, err := r.engine.Pool.Connects(ctx, t)
+			outcomes <- outcome{ok: ok, err: err}
+		}()
 	}
-	n := 0
+	n, failure := 0, error(nil)
 	for range targets {
-		if <-connected {
+		o := <-outcomes
+		if o.ok {
 			n++
 		}
+		if errors.Is(o.err, origin.ErrExhausted) {
+			failure = o.err
+		}
 	}
-	return n
+	return n, failure
 }
 
 // serveTest runs a test for another host, unless it has too much of this kind to do.
@@ -162,7 +183,11 @@
 	}
 	r.served.Spend(float64(len(targets)))
 	go func() {
-		reached := r.connect(context.Background(), targets)
+		reached, err := r.connect(context.Background(), targets)
+		if err != nil {
+			r.log.WithError(err).WithField("peer", from).Info("cannot test connections for another host")
+			return
+		}
 		r.send(from, notice.Message{Results: []notice.TestResult{{Number: t.Number, Reached: reached}}})
 	}()
 }
@@ -180,9 +205,9 @@
 	if !ok {
 		return
 	}
-	if ev.late && ev.reached == 0 {
+	if ev.void != "" && ev.reached == 0 {
 		delete(r.tests, ev.number)
-		r.log.WithField("targetzone", string(test.outcome.Zone)).Info("this host lacked processor time in a test of its connections")
+		r.log.WithFields(log.Fields{"targetzone": string(test.outcome.Zone), "reason": ev.void}).Info("a test of this host's connections is void")
 		return
 	}
 	if ev.from == "" {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -247,7 +247,7 @@
 		r.replaceAttempt(i, result)
 		return
 	}
-	if errors.Is(result.Err, origin.ErrWithdrawn) {
+	if errors.IsAny(result.Err, origin.ErrWithdrawn, origin.ErrExhausted) { // other targets do not help
 		r.recordFailure(i, result)
 		r.progress.RecordFailure(i, false)
 		r.progress.GiveUp(i)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -24,6 +24,7 @@
 // configuration apply to new connections only.
 type callerServer struct {
 	handler http.Handler
+	conns   *callerConns
 
 	mu      sync.Mutex
 	limits  catalog.Limits
@@ -72,17 +73,39 @@
 		if err != nil {
 			return magnoliashore.Step(err, "accept callers", listener.Addr().String())
 		}
-		f.mu.Lock()
-		current := f.current
-		f.mu.Unlock()
-		select {
-		case current.conns <- c:
-		case <-current.done:
-			_ = c.Close()
+		if conn := f.conns.add(c); conn != nil {
+			f.pass(conn)
 		}
 	}
 }
 
+// pass passes a connection to the current server.
+func (f *callerServer) pass(c *callerConn) {
+	f.mu.Lock()
+	current := f.current
+	f.mu.Unlock()
+	select {
+	case current.conns <- c:
+	case <-current.done:
+		_ = c.Close()
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ServeHTTP serves a request, unless its connection was closed to make room. Near the
+// bound on connections, it has the connection closed after the answer.
+func (f *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.begin() {
+		panic(http.ErrAbortHandler)
+	}
+	if f.conns.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+	f.handler.ServeHTTP(w, r)
+}
+
 // setLimits sets the limits of new connections.
 func (f *callerServer) setLimits(limits catalog.Limits) {
 	f.mu.Lock()
@@ -99,10 +122,16 @@
 // serve starts a server with the current limits. The caller holds mu.
 func (f *callerServer) serve(addr net.Addr) {
 	server := &http.Server{
-		Handler:           f.handler,
+		Handler:           f,
 		ReadHeaderTimeout: valueOr(f.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       valueOr(f.limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    valueOr(f.limits.HeaderBytes, defaultHeaderBytes),
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if conn, ok := c.(*callerConn); ok {
+				conn.observe(state)
+			}
+		},
 	}
 	listener := &connListener{conns: make(chan net.Conn), done: make(chan struct{}), addr: addr}
 	f.current = listener
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -21,14 +21,16 @@
 	Peer      string // ip:port for other hosts, over TCP and UDP
 	Metrics   string // ip:port for metrics; empty for none
 	Seeds     []string
-	Cores     float64       // CPU cores of the host, possibly fractional; zero if unknown
-	Store     string        // ip:port of the store
-	Grace     time.Duration // from SIGTERM to the end of the process
-	Drain     time.Duration // how long a leaving target still accepts requests
-	Heartbeat time.Duration // time between two reports of a target to the store; zero if unknown
-	Refresh   time.Duration // how long callers may cache addresses at most
-	Retries   retry.Limit
-	Cold      admit.ColdLimit
+	// Descriptors is how many descriptors the process may have open; zero if unknown.
+	Descriptors int
+	Cores       float64       // CPU cores of the host, possibly fractional; zero if unknown
+	Store       string        // ip:port of the store
+	Grace       time.Duration // from SIGTERM to the end of the process
+	Drain       time.Duration // how long a leaving target still accepts requests
+	Heartbeat   time.Duration // time between two reports of a target to the store; zero if unknown
+	Refresh     time.Duration // how long callers may cache addresses at most
+	Retries     retry.Limit
+	Cold        admit.ColdLimit
 }
 
 // Check returns an error that describes all invalid settings, or nil.
@@ -48,6 +50,9 @@
 	if s.Grace <= 0 {
 		err = errors.Join(err, errors.Newf("the grace time is %s; it must be above zero", s.Grace))
 	}
+	if s.Descriptors < 0 {
+		err = errors.Join(err, errors.Newf("the limit on descriptors is %d; it must not be negative", s.Descriptors))
+	}
 	if s.Heartbeat < 0 {
 		err = errors.Join(err, errors.Newf("the heartbeat of targets is %s; it must not be negative", s.Heartbeat))
 	}
--- a/origin/connlist.go
+++ b/origin/connlist.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
 // Errors of attempts that have not sent any byte of the request.
@@ -18,6 +20,9 @@
 	ErrTargetGone = errors.New("the target has left")
 	// ErrWithdrawn means that the request was withdrawn before it was sent.
 	ErrWithdrawn = errors.New("the request was withdrawn")
+	// ErrExhausted means that this host lacked a descriptor for a connection, whatever
+	// the target.
+	ErrExhausted = errors.New("this host has no descriptor left for a connection")
 	errCanceled  = errors.New("the request was canceled")
 )
 
@@ -139,6 +144,9 @@
 		if l.gone.Err() != nil {
 			return nil, errors.Mark(err, ErrTargetGone)
 		}
+		if tcp.Exhausted(err) {
+			return nil, errors.Mark(err, ErrExhausted)
+		}
 		return nil, errors.Mark(errors.Wrapf(err, "connecting to %s", l.address), ErrConnect)
 	}
 	return newConn(c), nil
--- a/origin/ended.go
+++ b/origin/ended.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
 // settleAfterEnd is how long a process that ends may still accept connections after
@@ -36,14 +37,17 @@
 	return false
 }
 
-// Connects reports whether a connection to a target opens, which it closes again.
-func (p *Pool) Connects(ctx context.Context, t *catalog.Target) bool {
+// Connects reports whether a connection to a target opens, which it closes again. It
+// returns ErrExhausted if this host cannot find out.
+func (p *Pool) Connects(ctx context.Context, t *catalog.Target) (bool, error) {
 	c, err := p.dial()(ctx, "tcp4", t.Address())
+	if err != nil && tcp.Exhausted(err) {
+		return false, errors.Mark(err, ErrExhausted)
+	}
 	if err != nil {
-		return false
+		return false, nil
 	}
-	_ = c.Close()
-	return true
+	return true, c.Close()
 }
 
 // DropIdle closes the idle connections to a target, which may be silent.
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -71,7 +71,7 @@
 // Inconclusive reports whether the attempt says nothing about its target: this host has
 // not tried to reach it.
 func (r Result) Inconclusive() bool {
-	return errors.IsAny(r.Err, ErrNoConnection, ErrTargetGone, ErrWithdrawn)
+	return errors.IsAny(r.Err, ErrNoConnection, ErrTargetGone, ErrWithdrawn, ErrExhausted)
 }
 
 // ConnectionEnded reports whether err says that the other side ended a connection.
@@ -112,12 +112,30 @@
 // DialFunc opens a connection to an ip:port.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// dial returns the function that opens connections to targets.
+// dial returns the function that opens connections to targets. If this host lacks
+// descriptors, it closes the idle connections to all targets and tries again.
 func (p *Pool) dial() DialFunc {
-	if p.Dial != nil {
-		return p.Dial
+	dial := p.Dial
+	if dial == nil {
+		dial = tcp.Dialer(dialTimeout, userTimeout).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil && tcp.Exhausted(err) {
+			p.closeIdle()
+			c, err = dial(ctx, network, address)
+		}
+		return c, err
+	}
+}
+
+// closeIdle closes the idle connections to all targets.
+func (p *Pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.conns {
+		l.dropIdle()
 	}
-	return tcp.Dialer(dialTimeout, userTimeout).DialContext
 }
 
 // connsTo returns the connections to a target, or ErrTargetGone if it has left or has
