fix(relay): close a link that opens after its host has left

A link to a host that leaves is closed and forgotten. If it was being opened at that moment, the connection came up afterwards and stayed, with a goroutine and a descriptor on both sides, until the other host ended.

Close is final now: a dial that succeeds later closes its connection, and Connect does nothing.

Test: TestLinkOpensAfterItsClose; before: "the connection is still open after 2 s".

--- a/relay/link.go
+++ b/relay/link.go
@@ -54,6 +54,7 @@
 	socket     *websocket.Conn // nil while not connected
 	lastDial   time.Time
 	dialing    bool
+	closed     bool             // the host is not used any more
 	calls      map[uint64]*Call // batches in flight, by number
 	lastNumber uint64
 	lastPong   time.Time // when the other host last answered a check
@@ -143,7 +144,7 @@
 	if l.socket != nil {
 		return l.socket, nil
 	}
-	if now := l.Timer.Now(); !l.dialing && now.Sub(l.lastDial) > redialInterval {
+	if now := l.Timer.Now(); !l.closed && !l.dialing && now.Sub(l.lastDial) > redialInterval {
 		l.lastDial = now
 		l.dialing = true
 		go l.dial()
@@ -179,6 +180,11 @@
 		l.Log.WithError(err).WithField("peer", l.Peer).Info("cannot reach the host")
 		return
 	}
+	if l.closed {
+		l.mu.Unlock()
+		_ = socket.Close()
+		return
+	}
 	bound.AllowAll() // frames have a bound of their own
 	socket.SetReadLimit(maxFrameSize)
 	socket.SetPongHandler(func(string) error {
@@ -307,9 +313,11 @@
 	})
 }
 
-// Close closes the connection.
+// Close closes the connection, also one that is being opened. The link is not used after
+// that.
 func (l *Link) Close() {
 	l.mu.Lock()
+	l.closed = true
 	socket := l.socket
 	l.mu.Unlock()
 	if socket != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -235,3 +235,29 @@
 		t.Error("got a working connection closed, want it open")
 	}
 }
+
+// TestLinkOpensAfterItsClose guards against a connection that nobody holds or closes,
+// since it was being opened when its host left.
+func TestLinkOpensAfterItsClose(t *testing.T) {
+	t.Parallel()
+	dialing, proceed, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	inner := relayServer(func(context.Context, relay.Request, func(relay.Result)) {})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(dialing)
+		<-proceed
+		inner.ServeHTTP(w, r)
+		close(ended)
+	}))
+	t.Cleanup(server.Close)
+	link := &relay.Link{Peer: strings.TrimPrefix(server.URL, "http://"), Timer: &timer.Service{}, Log: quiet}
+	link.Connect()
+	<-dialing
+	link.Close()
+	close(proceed)
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the connection is still open after 2 s, want it closed as the link is")
+		server.CloseClientConnections()
+	}
+}
