--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -125,7 +125,7 @@
 	busy := c.connect(t)
 	busy.write("/hold")
 	c.waitForServed(t, 1)
-	var idle []*client
+	idle := make([]*client, 0, 2)
 	for i := range 2 {
 		idle = append(idle, c.connect(t))
 		if answered, kept := idle[i].ask("/"); !answered || !kept {
