fix(gateway): apply the limits of a new configuration to open connections

Cause: the limits of a connection are those of the HTTP server that it was accepted for; a change starts another server, for new connections only.

Change: when limits change, the connections from before are closed as soon as they are idle: at once, or after the answer to their request, and an answer that begins after the change says so. The choice of a connection to close and the first byte of a request exclude each other, as at the bound on connections. Configurations with the same limits change nothing.

Test: TestRaisedLimitNeverReachesOpenConnections.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -27,21 +27,23 @@
 	log     log.Interface
 	metrics *Metrics
 
-	mu     sync.Mutex
-	bound  int
-	open   int
-	idle   *list.List    // of *callerConn; the one that has been idle for longest first
-	room   chan struct{} // closed when a connection becomes idle or is closed; nil if nobody waits
-	logged time.Time     // latest log line
+	mu         sync.Mutex
+	bound      int
+	open       int
+	idle       *list.List    // of *callerConn; the one that has been idle for longest first
+	generation int           // rises when the limits of connections change
+	room       chan struct{} // closed when a connection becomes idle or is closed; nil if nobody waits
+	logged     time.Time     // latest log line
 }
 
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
 
-	conns   *callerConns
-	element *list.Element // in conns.idle; nil while a request is read or runs
-	closed  bool          // it is closed, or was chosen to be
+	conns      *callerConns
+	generation int           // of the limits that its server applies
+	element    *list.Element // in conns.idle; nil while a request is read or runs
+	closed     bool          // it is closed, or was chosen to be
 }
 
 func newCallerConns(timers *timer.Service, logger log.Interface, metrics *Metrics) *callerConns {
@@ -128,6 +130,26 @@
 	}
 }
 
+// stamp records that a connection gets the limits that are in force now, or later ones.
+func (s *callerConns) stamp(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.generation = s.generation
+}
+
+// renew closes the connections that were stamped so far: those that are idle now, the
+// others after the answer to their request.
+func (s *callerConns) renew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation++
+	for s.idle.Len() > 0 {
+		c, _ := s.idle.Front().Value.(*callerConn)
+		s.drop(c)
+		_ = c.Conn.Close()
+	}
+}
+
 // setBound sets the most connections.
 func (s *callerConns) setBound(bound int) {
 	s.mu.Lock()
@@ -136,11 +158,12 @@
 	s.announceRoom()
 }
 
-// crowded reports whether connections should not be kept for later.
-func (s *callerConns) crowded() bool {
+// mayStay reports whether a connection may be kept after its request: its limits are in
+// force, and there is room.
+func (s *callerConns) mayStay(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return float64(s.open) >= crowdedShare*float64(s.bound)
+	return c.generation == s.generation && float64(s.open) < crowdedShare*float64(s.bound)
 }
 
 // count returns how many connections are open.
@@ -196,12 +219,24 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		if c.element == nil && !c.closed {
-			c.element = s.idle.PushBack(c)
-			s.announceRoom()
-		}
+		s.idled(c)
 	case http.StateHijacked:
 		s.drop(c)
 	case http.StateNew, http.StateActive, http.StateClosed: // Read and Close record these
 	}
 }
+
+// idled records that a connection is idle, and closes it if its limits are outdated: the
+// request has begun before they changed. The caller holds mu.
+func (s *callerConns) idled(c *callerConn) {
+	if c.closed || c.element != nil {
+		return
+	}
+	if c.generation != s.generation {
+		s.drop(c)
+		_ = c.Conn.Close()
+		return
+	}
+	c.element = s.idle.PushBack(c)
+	s.announceRoom()
+}
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/timer"
 )
 
@@ -257,3 +259,54 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc + stats.StackInuse
 }
+
+// TestRaisedLimitNeverReachesOpenConnections guards against refusing a header over an
+// open connection although a later configuration allows it (review-limits).
+func TestRaisedLimitNeverReachesOpenConnections(t *testing.T) {
+	t.Parallel()
+	c := newCrowd(t, 8)
+	const low, high = 2 << 10, 64 << 10
+	c.server.setLimits(catalog.Limits{HeaderBytes: low})
+	busy := c.connect(t)
+	busy.write("/hold")
+	c.waitForServed(t, 1)
+	idle := c.connect(t)
+	if answered, kept := idle.ask("/"); !answered || !kept {
+		t.Fatalf("got answered %t and kept %t, want both before the change", answered, kept)
+	}
+	c.waitForIdle(t, 1)
+	c.server.setLimits(catalog.Limits{HeaderBytes: high})
+	c.waitForIdle(t, 0)
+	if answered, _ := idle.ask("/"); answered {
+		t.Error("got an answer over the idle connection, want it closed, since its limits are outdated")
+	}
+	close(c.hold)
+	if answered, _ := busy.answer(); !answered {
+		t.Error("got no answer over the connection in use, want one")
+	}
+	if answered, _ := busy.ask("/"); answered {
+		t.Error("got another answer over it, want it closed")
+	}
+	fresh := c.connect(t)
+	header := strings.Repeat("x", high/2)
+	if status := fresh.askWith(header); status != http.StatusOK {
+		t.Errorf("got status %d for a header of %d bytes, want 200", status, len(header))
+	}
+	c.server.setLimits(catalog.Limits{HeaderBytes: high})
+	if answered, kept := fresh.ask("/"); !answered || !kept {
+		t.Errorf("got answered %t and kept %t, want both: the limits are the same", answered, kept)
+	}
+}
+
+// askWith sends a request with a header field and returns the status of the answer; zero
+// if there is none.
+func (c *client) askWith(value string) int {
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nField: "+value+"\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -20,8 +20,9 @@
 	defaultHeaderBytes   = 16 << 10
 )
 
-// callerServer accepts the connections of callers. The limits of a new
-// configuration apply to new connections only.
+// callerServer accepts the connections of callers. The limits of a connection are set
+// when it is accepted; if they change, open connections are closed when they are idle or
+// after their next answer.
 type callerServer struct {
 	handler http.Handler
 	conns   *callerConns
@@ -81,6 +82,7 @@
 
 // pass passes a connection to the current server.
 func (f *callerServer) pass(c *callerConn) {
+	f.conns.stamp(c)
 	f.mu.Lock()
 	current := f.current
 	f.mu.Unlock()
@@ -94,29 +96,40 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// ServeHTTP serves a request, unless its connection was closed to make room. Near the
-// bound on connections, it has the connection closed after the answer.
+// ServeHTTP serves a request, unless its connection was closed to make room. It has the
+// connection closed after the answer if it should not be kept.
 func (f *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.begin() {
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	if ok && !c.begin() {
 		panic(http.ErrAbortHandler)
 	}
-	if f.conns.crowded() {
+	if ok && !f.conns.mayStay(c) {
 		w.Header().Set("Connection", "close")
 	}
 	f.handler.ServeHTTP(w, r)
 }
 
-// setLimits sets the limits of new connections.
+// setLimits sets the limits of new connections, and replaces those that are open.
 func (f *callerServer) setLimits(limits catalog.Limits) {
+	if f.replace(limits) {
+		f.conns.renew()
+	}
+}
+
+// replace starts a server with limits for new connections, unless they are those of the
+// current one. It reports whether there are older connections.
+func (f *callerServer) replace(limits catalog.Limits) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if limits == f.limits {
-		return
+		return false
 	}
 	f.limits = limits
-	if f.current != nil && !f.stopped {
-		f.serve(f.current.addr)
+	if f.current == nil || f.stopped {
+		return false
 	}
+	f.serve(f.current.addr)
+	return true
 }
 
 // serve starts a server with the current limits. The caller holds mu.
