fix(retry): keep the slack back for a window after the start of a process

Cause: the counters of the budget begin anew with each process, and with them the slack, which the former process may have used up just before its end. Nothing of a host outlives its process, so a new one cannot know.

Change: a process has no share of the slack until one window after its start. What its own requests earn is not touched: both processes together stay within ratio and slack. A host that starts with the whole system has the slack by the time at which traffic begins, or a window later.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -173,7 +173,7 @@
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.Metrics,
 		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes, Dial: h.DialTarget, Lookup: h.lookup},
 		Balancer:    &balance.Balancer{Zone: s.Zone, Random: newRandom()},
-		Budget:      &retry.Budget{Limit: s.Retries},
+		Budget:      &retry.Budget{Limit: s.Retries, Started: h.started},
 		ColdLimiter: &admit.ColdLimiter{Limit: s.Cold},
 		reportDue:   make(chan struct{}, 1),
 		stop:        h.stop,
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -30,6 +30,9 @@
 type Budget struct {
 	Limit Limit
 	Hosts int // number of hosts that share the slack
+	// Started is the start of the process; zero if no other ran before it. The former
+	// process may have used up the slack just before its end.
+	Started time.Time
 
 	services map[magnoliashore.ServiceName]*counters
 }
@@ -55,7 +58,7 @@
 		return true
 	}
 	c := b.current(now, service)
-	if c.sum(&c.extra, windowSteps+1) >= b.allowed(c) {
+	if c.sum(&c.extra, windowSteps+1) >= b.allowed(now, c) {
 		return false
 	}
 	c.extra[c.newest%(2*windowSteps)]++
@@ -63,9 +66,18 @@
 }
 
 // allowed returns how many extra attempts this host may have in one window.
-func (b *Budget) allowed(c *counters) int {
+func (b *Budget) allowed(now time.Time, c *counters) int {
 	earned := b.Limit.Ratio * float64(c.sum(&c.requests, windowSteps-1))
-	return int(usedShare * (earned + float64(b.Limit.Slack)/float64(max(b.Hosts, 1))))
+	return int(usedShare * (earned + b.slack(now)))
+}
+
+// slack returns this host's share of the slack: none until a window has passed since
+// the start of the process.
+func (b *Budget) slack(now time.Time) float64 {
+	if now.Sub(b.Started) < b.Limit.Window {
+		return 0
+	}
+	return float64(b.Limit.Slack) / float64(max(b.Hosts, 1))
 }
 
 // sum adds up the newest steps. The newest step is still incomplete, so one step
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -18,15 +18,23 @@
 
 // flood sends requests at a steady mean rate to random hosts. Each request asks
 // for one extra attempt, which is sent if the budget of its host allows it.
-func flood(limit retry.Limit, hosts int, perSecond float64, length time.Duration, random *rand.Rand) []attempt {
+// All hosts restart at the given times.
+func flood(limit retry.Limit, hosts int, perSecond float64, length time.Duration, random *rand.Rand, restarts ...time.Duration) []attempt {
+	start := time.Unix(1000, 0)
 	budgets := make([]retry.Budget, hosts)
-	for i := range budgets {
-		budgets[i] = retry.Budget{Limit: limit, Hosts: hosts}
+	restart := func(at time.Time) {
+		for i := range budgets {
+			budgets[i] = retry.Budget{Limit: limit, Hosts: hosts, Started: at}
+		}
 	}
-	start := time.Unix(1000, 0)
+	restart(time.Time{})
 	var attempts []attempt
 	for at := time.Duration(0); at < length; at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
 		now := start.Add(at)
+		for len(restarts) > 0 && at >= restarts[0] {
+			restart(start.Add(restarts[0]))
+			restarts = restarts[1:]
+		}
 		b := &budgets[random.IntN(hosts)]
 		b.CountRequest(now, service)
 		attempts = append(attempts, attempt{at: now})
@@ -41,10 +49,25 @@
 // at many hosts fails and asks for an extra attempt.
 func TestLimitHoldsInEveryWindow(t *testing.T) {
 	t.Parallel()
+	checkEveryWindow(t)
+}
+
+// TestRestartDoublesTheSlack guards against a budget that begins anew with each process:
+// a restart of all hosts gave the slack out twice in one window (review-budget).
+func TestRestartDoublesTheSlack(t *testing.T) {
+	t.Parallel()
+	checkEveryWindow(t, 12*time.Second)
+	checkEveryWindow(t, 12*time.Second, 14*time.Second, 19*time.Second)
+}
+
+// checkEveryWindow floods hosts that restart at the given times, and checks the limit in
+// every window.
+func checkEveryWindow(t *testing.T, restarts ...time.Duration) {
+	t.Helper()
 	limit := retry.Limit{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		attempts := flood(limit, 8, 20+60*random.Float64(), 40*time.Second, random)
+		attempts := flood(limit, 8, 20+60*random.Float64(), 40*time.Second, random, restarts...)
 		first, requests, extra := 0, 0, 0
 		for _, s := range attempts {
 			if s.extra {
