fix(gateway): replace connections with outdated limits over 1.5 s

Now the next answer closes a connection whose limits are outdated, and what is idle for 1.5 s after the change is closed then: callers expect new limits 3 s after the acknowledgement, of which a host may need 1.5 s to know them.

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -18,6 +18,9 @@
 	roomPatience = 200 * time.Millisecond
 	// Least time between two log lines about the bound.
 	boundLogInterval = time.Second
+	// How long connections may stay idle whose limits are outdated. Callers expect new
+	// limits 3 s after their change, of which this host may need 1.5 s to know them.
+	renewTime = 1500 * time.Millisecond
 )
 
 // callerConns holds the open connections of callers and bounds their number. If a new
@@ -32,6 +35,7 @@
 	open       int
 	idle       *list.List    // of *callerConn; the one that has been idle for longest first
 	generation int           // rises when the limits of connections change
+	oldest     int           // generation before which no connection stays idle
 	room       chan struct{} // closed when a connection becomes idle or is closed; nil if nobody waits
 	logged     time.Time     // latest log line
 }
@@ -137,16 +141,29 @@
 	c.generation = s.generation
 }
 
-// renew closes the connections that were stamped so far: those that are idle now, the
-// others after the answer to their request.
+// renew has the connections that were stamped so far closed after their next answer, and
+// after renewTime those that are idle by then.
 func (s *callerConns) renew() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.generation++
-	for s.idle.Len() > 0 {
-		c, _ := s.idle.Front().Value.(*callerConn)
-		s.drop(c)
-		_ = c.Conn.Close()
+	current := s.generation
+	s.mu.Unlock()
+	s.timer.Call(renewTime, func() { s.closeBefore(current) })
+}
+
+// closeBefore closes the idle connections of generations before one. Those in use are
+// closed when they become idle.
+func (s *callerConns) closeBefore(generation int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = max(s.oldest, generation)
+	for e := s.idle.Front(); e != nil; {
+		c, _ := e.Value.(*callerConn)
+		e = e.Next()
+		if c.generation < s.oldest {
+			s.drop(c)
+			_ = c.Conn.Close()
+		}
 	}
 }
 
@@ -226,13 +243,13 @@
 	}
 }
 
-// idled records that a connection is idle, and closes it if its limits are outdated: the
-// request has begun before they changed. The caller holds mu.
+// idled records that a connection is idle, and closes it if its limits are outdated for
+// too long. The caller holds mu.
 func (s *callerConns) idled(c *callerConn) {
 	if c.closed || c.element != nil {
 		return
 	}
-	if c.generation != s.generation {
+	if c.generation < s.oldest {
 		s.drop(c)
 		_ = c.Conn.Close()
 		return
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -270,12 +270,18 @@
 	busy := c.connect(t)
 	busy.write("/hold")
 	c.waitForServed(t, 1)
-	idle := c.connect(t)
-	if answered, kept := idle.ask("/"); !answered || !kept {
-		t.Fatalf("got answered %t and kept %t, want both before the change", answered, kept)
+	idle, used := c.connect(t), c.connect(t)
+	for _, open := range []*client{idle, used} {
+		if answered, kept := open.ask("/"); !answered || !kept {
+			t.Fatalf("got answered %t and kept %t, want both before the change", answered, kept)
+		}
 	}
-	c.waitForIdle(t, 1)
+	c.waitForIdle(t, 2)
 	c.server.setLimits(catalog.Limits{HeaderBytes: high})
+	if answered, kept := used.ask("/"); !answered || kept {
+		t.Errorf("got answered %t and kept %t soon after the change, want an answer that closes the connection", answered, kept)
+	}
+	time.Sleep(renewTime)
 	c.waitForIdle(t, 0)
 	if answered, _ := idle.ask("/"); answered {
 		t.Error("got an answer over the idle connection, want it closed, since its limits are outdated")
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,8 +21,8 @@
 )
 
 // callerServer accepts the connections of callers. The limits of a connection are set
-// when it is accepted; if they change, open connections are closed when they are idle or
-// after their next answer.
+// when it is accepted; if they change, open connections are closed after their next
+// answer, or soon if they stay idle.
 type callerServer struct {
 	handler http.Handler
 	conns   *callerConns
