fix(gateway): refuse no suspected request whose first shard has run

What callers saw: a query that is suspected to end targets is sent to one shard first, and to the others only if that one answers. If nothing could be sent to the others then, it was refused with 503, which says that it has not run, although the first shard had. A stop could withdraw it as unsent while the first shard ran.

Cause: the two steps have a state of their own, and the answer looks at the second.

Change: a query remembers that a shard has answered before, and gets 502 then. The send of the first shard counts as a send of the whole query.

Tests: TestRefusalAfterAShardRan (before: "got status 503, want 502"), TestSendOfTheFirstShardCounts. Comments of gates.go and reach.go in order."

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -34,7 +34,7 @@
 	case run.lastAnswer != nil && !run.query.scatter:
 		m.failed.Inc()
 		return writeResult(w, run.lastAnswer)
-	case !run.progress.MayHaveRun():
+	case !run.progress.MayHaveRun() && !run.query.probed:
 		m.refused.Inc()
 		return writeFailure(w, http.StatusServiceUnavailable, h.limitRetryAfter(run.query, h.Engine.limitDelay(run.query)))
 	case decision == scatter.Expired:
--- a/gateway/gates.go
+++ b/gateway/gates.go
@@ -49,9 +49,9 @@
 	running int
 }
 
-// admit waits until a query may run, for at most wait or until withdraw is closed. If the query is refused,
-// admit returns false and the time after which the caller may retry, at most
-// maxRetryAfter.
+// admit waits until a query may run, for at most wait or until withdraw is closed. If
+// the query is refused, admit returns false and the time after which the caller may
+// retry, at most maxRetryAfter.
 func (g *gates) admit(ctx context.Context, key string, size gateSize, priority int, wait, maxRetryAfter time.Duration,
 	withdraw <-chan struct{},
 ) (admission, time.Duration, bool) {
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -128,4 +128,7 @@
 func (q *query) recordSend() {
 	q.sending.Store(true)
 	q.setStage(waitsForTarget)
+	if q.whole != nil {
+		q.whole.recordSend()
+	}
 }
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -155,7 +155,8 @@
 			outcomes <- outcome{ok: ok, err: err}
 		}()
 	}
-	n, failure := 0, error(nil)
+	n := 0
+	var failure error
 	for range targets {
 		o := <-outcomes
 		if o.ok {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -99,6 +99,7 @@
 			return r, decision, ok
 		}
 		r.cancel()
+		q.probed = true
 		elapsed := e.Timer.Now().Sub(r.started)
 		q.params.Timeout -= elapsed
 		q.params.PartialAfter = max(q.params.PartialAfter-elapsed, 1)
@@ -135,7 +136,7 @@
 		request: q.request, received: q.received, kind: q.kind, services: []magnoliashore.ServiceName{services[rand.IntN(len(services))]},
 		params:   scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1, Timeout: q.params.Timeout},
 		deadline: q.deadline, topK: q.topK, scatter: true, suspected: true, trial: q.trial,
-		withdrawn: q.withdrawn,
+		withdrawn: q.withdrawn, whole: q,
 	}
 }
 
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/reach"
 	"github.com/magnoliashore/magnoliashore/retry"
+	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/suspect"
 )
 
@@ -102,3 +104,31 @@
 		t.Errorf("got verdict %d for a request with an end in another zone, want it suspected", got)
 	}
 }
+
+// TestRefusalAfterAShardRan guards against "has not run" in the answer of a suspected
+// request whose first shard has run before the others could not be queried.
+func TestRefusalAfterAShardRan(t *testing.T) {
+	t.Parallel()
+	for probed, want := range map[bool]int{false: http.StatusServiceUnavailable, true: http.StatusBadGateway} {
+		e, q := shardedEngine()
+		q.probed = probed
+		h := &Handler{Engine: e}
+		run := &queryRun{engine: e, query: q, progress: scatter.NewProgress(q.params, time.Now())}
+		if got := h.writeAnswer(httptest.NewRecorder(), run, scatter.Fail); got != want {
+			t.Errorf("first shard has run %t: got status %d, want %d", probed, got, want)
+		}
+	}
+}
+
+// TestSendOfTheFirstShardCounts guards against withdrawing a request as unsent while its
+// first shard runs.
+func TestSendOfTheFirstShardCounts(t *testing.T) {
+	t.Parallel()
+	e, q := shardedEngine()
+	q.withdrawn = make(chan struct{})
+	e.inFlight.add(q)
+	q.firstShard(e.View()).recordSend()
+	if waiting, all := e.inFlight.withdraw(); waiting != 0 || all != 1 {
+		t.Errorf("got %d of %d requests withdrawn, want none of 1", waiting, all)
+	}
+}
