fix(gateway): never answer 400 over a connection that is being closed

Cause: a connection is chosen to be closed under the lock and closed after it. If the first request of a new connection arrives between the two, its read fails, and net/http answers the failure with 400 unless it is the error of a network read; the connection was still open for that.

Change: the read fails as one of a closed connection does.

Test: TestRequestOverAClosedConnectionRuns holds connections between the two steps, a new and a kept one. Before: "new connection: got an answer, want the connection closed".

--- a/gateway/callerconns.go
+++ b/gateway/callerconns.go
@@ -203,11 +203,15 @@
 	return !c.closed
 }
 
+// errClosedRead is what a read of a closed connection returns. The HTTP server answers
+// other errors with 400, and the connection may still be open.
+var errClosedRead = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // Read reads from the connection, which is in use from the first byte of a request.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.begin() {
-		return 0, net.ErrClosed
+		return 0, errClosedRead
 	}
 	return n, err
 }
--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -178,19 +178,29 @@
 }
 
 // TestRequestOverAClosedConnectionRuns guards against running a request that arrives
-// just when its connection is closed to make room: it would get no answer.
+// just when its connection was chosen to be closed, since it would get no answer, and
+// against answering it with 400.
 func TestRequestOverAClosedConnectionRuns(t *testing.T) {
 	t.Parallel()
-	s := newCallerConns(&timer.Service{}, &log.Logger{Handler: discard.New()}, NewMetrics())
-	s.setBound(1)
-	here, there := net.Pipe()
-	conn := s.add(here)
-	go func() { _, _ = io.WriteString(there, "GET") }()
-	s.mu.Lock()
-	s.drop(conn) // chosen to be closed, and not closed yet
-	s.mu.Unlock()
-	if n, err := conn.Read(make([]byte, 8)); n != 0 || err == nil {
-		t.Errorf("got %d bytes and error %v, want none of the request", n, err)
+	c := newCrowd(t, 8)
+	fresh, used := c.connect(t), c.connect(t)
+	if answered, kept := used.ask("/"); !answered || !kept {
+		t.Fatalf("got answered %t and kept %t, want both", answered, kept)
+	}
+	c.waitForIdle(t, 2)
+	c.server.conns.mu.Lock()
+	for c.server.conns.idle.Len() > 0 {
+		chosen, _ := c.server.conns.idle.Front().Value.(*callerConn)
+		c.server.conns.drop(chosen) // and not closed yet
+	}
+	c.server.conns.mu.Unlock()
+	for name, open := range map[string]*client{"new": fresh, "kept": used} {
+		if answered, _ := open.ask("/"); answered {
+			t.Errorf("%s connection: got an answer, want the connection closed", name)
+		}
+	}
+	if got := c.served.Load(); got != 1 {
+		t.Errorf("got %d requests served, want the first one only", got)
 	}
 }
 
