--- a/origin/connlist.go
+++ b/origin/connlist.go
@@ -53,9 +53,9 @@
 	return l
 }
 
-// limits bound how many connections of a list are used, and how long an attempt waits
-// for one.
-type limits struct {
+// acquireParams says how many connections of a list may be used, and how long an attempt
+// waits for one.
+type acquireParams struct {
 	priority   int
 	maxOpen    int
 	maxWaiting int
@@ -66,7 +66,7 @@
 // or waits for one unless maxWaiting requests already wait. Waiting requests are
 // served in order of priority, the lowest first. The wait ends when the list is retired
 // or the request is withdrawn.
-func (l *connList) acquire(ctx context.Context, now time.Time, limits limits) (*conn, error) {
+func (l *connList) acquire(ctx context.Context, now time.Time, params acquireParams) (*conn, error) {
 	l.mu.Lock()
 	if l.gone.Err() != nil {
 		l.mu.Unlock()
@@ -82,20 +82,20 @@
 		l.numOpen--
 		_ = c.Close()
 	}
-	if l.numOpen < limits.maxOpen {
+	if l.numOpen < params.maxOpen {
 		l.numOpen++
 		l.mu.Unlock()
 		return l.dial(ctx)
 	}
-	if len(l.waiting) >= limits.maxWaiting {
+	if len(l.waiting) >= params.maxWaiting {
 		l.mu.Unlock()
 		return nil, ErrNoConnection
 	}
-	w := &waiter{priority: limits.priority, ready: make(chan *conn, 1)}
-	i, _ := slices.BinarySearchFunc(l.waiting, limits.priority+1, func(x *waiter, p int) int { return x.priority - p })
+	w := &waiter{priority: params.priority, ready: make(chan *conn, 1)}
+	i, _ := slices.BinarySearchFunc(l.waiting, params.priority+1, func(x *waiter, p int) int { return x.priority - p })
 	l.waiting = slices.Insert(l.waiting, i, w)
 	l.mu.Unlock()
-	return l.wait(ctx, w, limits.withdraw)
+	return l.wait(ctx, w, params.withdraw)
 }
 
 // wait waits until w receives a connection, or the permission to open one, or
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c, err := l.acquire(ctx, now, limits{
+	c, err := l.acquire(ctx, now, acquireParams{
 		priority: req.Priority, maxOpen: attempt.MaxConnections, maxWaiting: attempt.MaxWaiting, withdraw: attempt.Withdraw,
 	})
 	if err != nil {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -98,9 +98,9 @@
 	// MaxBuffered is the number of bytes of an answer to buffer before it is
 	// streamed as a Tail, if the request allows one; zero disables streaming.
 	MaxBuffered int64
-	// Lookup returns a target that may get requests, or nil. As soon as it does not
-	// return the target of an attempt, or returns it with another address, and Retain
-	// was called, the request is not sent. If Lookup is nil, all targets may get requests.
+	// Lookup returns a target that may get requests, or nil. Attempts at targets that it
+	// does not return any more, or returns with another address, are ended by Retain
+	// unless they were sent. If Lookup is nil, all targets may get requests.
 	Lookup func(id magnoliashore.TargetID) *catalog.Target
 	// Dial opens connections to targets; nil for TCP with the timeouts of this package.
 	Dial DialFunc
