--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Plays the case: 1 if the rule was broken, 0 if it held, 2 if it could not be played.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/bin/gateway ] && [ -x target/bin/rig-2 ] || exit 2
+exec target/bin/rig-2 attempts review/8
