--- a/review/rig-2/attempts.go
+++ b/review/rig-2/attempts.go
@@ -20,12 +20,12 @@
 		name := fmt.Sprintf("shard%d", i)
 		gather, services = append(gather, name), append(services, name)
 		for j := range replicas {
-			r.addBackend(fmt.Sprintf("i-%d%d", i, j), name, "a", 60*time.Millisecond, 3)
+			r.addBackend(fmt.Sprintf("i-%d%d", i, j), name, "a", 100*time.Millisecond, 6)
 		}
 	}
 	r.configure([]route{{
 		"name": "browse", "host": host, "prefix": "/browse/", "kind": "idempotent", "gather": gather, "attempts": 2, "timeoutMs": 2000,
-		"targetLatencyMs": 400, "priority": 1, "topK": 50, "minCoverage": 0.75,
+		"targetLatencyMs": 1000, "priority": 1, "topK": 50, "minCoverage": 0.75,
 	}}, services...)
 	r.addNodes("a", "b", "c")
 	r.freePorts()
@@ -44,7 +44,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for range 12 {
+		for range 14 {
 			if r.trouble {
 				r.note("answers are lost")
 				loses(true)
@@ -57,7 +57,7 @@
 				r.startNode(r.nodes[0])
 				loses(false)
 			}
-			time.Sleep(4 * time.Second)
+			time.Sleep(3500 * time.Millisecond)
 		}
 		close(stop)
 	}()
@@ -69,7 +69,7 @@
 			<-done
 			r.judgeAttempts()
 			return
-		case <-time.After(15 * time.Millisecond):
+		case <-time.After(10 * time.Millisecond):
 		}
 		n := r.nodes[1+i%2]
 		wg.Add(1)
