--- a/review/rig-2/attempts.go
+++ b/review/rig-2/attempts.go
@@ -25,7 +25,7 @@
 	}
 	r.configure([]route{{
 		"name": "browse", "host": host, "prefix": "/browse/", "kind": "idempotent", "gather": gather, "attempts": 2, "timeoutMs": 2000,
-		"targetLatencyMs": 1000, "priority": 1, "topK": 50, "minCoverage": 0.75,
+		"targetLatencyMs": 1000, "priority": 1, "topK": 50, wire("@coverage"): 0.75,
 	}}, services...)
 	r.addNodes("a", "b", "c")
 	r.freePorts()
--- a/review/rig-2/backend.go
+++ b/review/rig-2/backend.go
@@ -42,7 +42,7 @@
 }
 
 func newBackend(id, service, zone string, work time.Duration, slots int) *backend {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := listen("127.0.0.1:0")
 	check(err)
 	b := &backend{
 		id: id, service: service, zone: zone, address: l.Addr().String(), listener: l, born: time.Now().UnixMilli(),
@@ -70,7 +70,7 @@
 	b.mu.Unlock()
 	return s.put("servers/"+b.id, map[string]any{
 		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1", "slots": cap(b.slots),
-		"state": state, "warmupLeftMs": 0, "seq": seq, "born": b.born,
+		"state": state, wire("@cold"): 0, "seq": seq, "born": b.born,
 	})
 }
 
@@ -94,13 +94,13 @@
 // answer runs a request and writes its answer. It drops the request if the
 // connection closes meanwhile.
 func (b *backend) answer(c net.Conn, reader *bufio.Reader, r *http.Request) bool {
-	id := r.Header.Get("X-Magnoliashore-Request-Id")
+	id := r.Header.Get(wire("@H-Request-Id"))
 	if r.URL.Path == "/healthz" {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Magnoliashore-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.id)
+		_, err := fmt.Fprintf(c, wire("HTTP/1.1 200 OK\r\n@H-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"), b.id)
 		return err == nil
 	}
-	if expected := r.Header.Get("X-Magnoliashore-Expect-Instance"); expected != "" && expected != b.id {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Magnoliashore-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	if expected := r.Header.Get(wire("@H-Expect-Instance")); expected != "" && expected != b.id {
+		_, err := fmt.Fprintf(c, wire("HTTP/1.1 421 Misdirected Request\r\n@H-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"), id)
 		return err == nil
 	}
 	b.slots <- struct{}{}
@@ -153,7 +153,7 @@
 		return false
 	}
 	body := records(b.service, r.RequestURI)
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Server-Stamp: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+	_, err := fmt.Fprintf(c, wire("HTTP/1.1 %d %s\r\n@H-Request-Id: %s\r\n@H-Server-Stamp: %s\r\n%sContent-Length: %d\r\n\r\n%s"),
 		status, http.StatusText(status), id, stamp(b.id, id), extra, len(body), body)
 	return err == nil
 }
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 )
@@ -21,7 +20,7 @@
 
 // request returns a GET request as a client sends it.
 func request(method, path, id string, deadline time.Duration, body string) string {
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Deadline-Ms: %d\r\n",
+	head := fmt.Sprintf(wire("%s %s HTTP/1.1\r\nHost: %s\r\n@H-Request-Id: %s\r\n@H-Deadline-Ms: %d\r\n"),
 		method, path, host, id, deadline.Milliseconds())
 	if body != "" {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
@@ -33,7 +32,7 @@
 func send(address, method, path, id string, deadline time.Duration, body string) answer {
 	start := time.Now()
 	a := answer{id: id}
-	c, err := net.DialTimeout("tcp4", address, time.Second)
+	c, err := dial(address)
 	if err != nil {
 		a.err = err
 		return a
@@ -60,7 +59,7 @@
 	a.status, a.header = resp.StatusCode, resp.Header
 }
 
-func (a answer) stamp() string { return a.header.Get("X-Magnoliashore-Server-Stamp") }
+func (a answer) stamp() string { return a.header.Get(wire("@H-Server-Stamp")) }
 
 // String describes the answer in the record.
 func (a answer) String() string {
--- a/review/rig-2/leave.go
+++ b/review/rig-2/leave.go
@@ -40,7 +40,7 @@
 
 func (r *rig) visit(n *node, method, path, body string, leaves bool) {
 	id := r.id()
-	c, err := net.DialTimeout("tcp4", n.front(), time.Second)
+	c, err := dial(n.front())
 	check(err)
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(9 * time.Second))
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -46,13 +45,13 @@
 
 // listen opens an address for one machine.
 func (s *store) listen() *gate {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := listen("127.0.0.1:0")
 	check(err)
 	g := &gate{address: l.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", func(w http.ResponseWriter, r *http.Request) { g.pass(w, r, s.serveKey) })
-	mux.HandleFunc("GET /-/kv-range", func(w http.ResponseWriter, r *http.Request) { g.pass(w, r, s.serveRange) })
-	mux.HandleFunc("GET /-/kv-watch", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc(wire("GET /-/@range"), func(w http.ResponseWriter, r *http.Request) { g.pass(w, r, s.serveRange) })
+	mux.HandleFunc(wire("GET /-/@watch"), func(w http.ResponseWriter, r *http.Request) {
 		g.pass(w, r, s.serveWatch)
 		g.mu.Lock()
 		g.watches++
