fix(gateway): never pass on a target's status that says a request has not run

Cause: whether a target has refused was asked for retries only. The status for the caller was copied, in writeResult and in passOn.

Fix: writeHead alone writes answers of others, and writes 502 in place of such a status, without the target's signature, Retry-After and body. A 421 is a refusal only with the field or the name of another target. Hosts mark their own refusals of forwarded requests; unmarked ones of earlier versions become 502.

Why it works: after this, 503 is written only where the host itself knows that nothing was sent, or that all targets have refused with the field.

--- a/dialect.go
+++ b/dialect.go
@@ -20,15 +20,26 @@
 	Target  TargetID      // intended recipient; no other target may run the request
 }
 
+// IsRefusal reports whether a status tells a caller that its request has not run and
+// never will, so that the caller may send it again.
+func IsRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // TargetReply holds the fields that a target returns with its answer.
 type TargetReply struct {
-	RequestID string        // ID of the answered request; empty if absent
-	Signature string        // the target's signature of the answer; empty if absent
-	NotRun    bool          // whether the request did not run and never will
-	Instance  string        // ID of the process that answered; empty if absent
-	Cold      time.Duration // remaining time for which the target is cold; zero if absent
-	Limited   bool          // whether the target names a limit
-	Limit     float64       // requests per second that the target takes from all hosts together
+	RequestID   string        // ID of the answered request; empty if absent
+	Signature   string        // the target's signature of the answer; empty if absent
+	NotRun      bool          // whether the request did not run and never will
+	Misdirected bool          // whether the request was meant for another target, as the answer has it
+	Instance    string        // ID of the process that answered; empty if absent
+	Cold        time.Duration // remaining time for which the target is cold; zero if absent
+	Limited     bool          // whether the target names a limit
+	Limit       float64       // requests per second that the target takes from all hosts together
 }
 
 // Dialect reads and writes the HTTP header fields of callers and targets.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,7 +5,9 @@
 	"strconv"
 	"time"
 
-	"github.com/magnoliashore/magnoliashore/origin"
+	"github.com/apex/log"
+
+	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/scatter"
 )
 
@@ -15,7 +17,7 @@
 	switch {
 	case decision == scatter.Answer && run.answer != nil:
 		m.whole.Inc()
-		return writeResult(w, run.answer)
+		return h.writeResult(w, run)
 	case decision == scatter.Answer:
 		if run.progress.Missing() > 0 {
 			m.partial.Inc()
@@ -33,8 +35,9 @@
 		return writeFailure(w, statusOf(run.bodyErr()), 0)
 	case run.lastAnswer != nil && !run.query.scatter:
 		m.failed.Inc()
-		return writeResult(w, run.lastAnswer)
-	case !run.progress.MayHaveRun() && !run.query.probed:
+		run.answer = run.lastAnswer
+		return h.writeResult(w, run)
+	case !run.mayHaveRun():
 		m.refused.Inc()
 		return writeFailure(w, http.StatusServiceUnavailable, h.limitRetryAfter(run.query, h.Engine.limitDelay(run.query)))
 	case decision == scatter.Expired:
@@ -46,27 +49,56 @@
 	}
 }
 
-// writeResult writes the answer of a target and returns its status.
-func writeResult(w http.ResponseWriter, result *origin.Result) int {
-	header := w.Header()
-	for name, values := range endToEnd(result.Header) {
-		header[name] = values
-	}
-	if _, ok := header["Content-Type"]; !ok {
-		header["Content-Type"] = nil // prevents the server from guessing one
-	}
-	if _, ok := header["Date"]; !ok {
-		header["Date"] = nil
-	}
+// writeResult writes the answer of a target and returns the status that it has written.
+func (h *Handler) writeResult(w http.ResponseWriter, run *queryRun) int {
+	result := run.answer
+	length := int64(len(result.Body))
 	switch {
 	case result.Tail == nil:
-		header.Set("Content-Length", strconv.Itoa(len(result.Body)))
 	case result.Tail.Length() >= 0:
-		header.Set("Content-Length", strconv.FormatInt(int64(len(result.Body))+result.Tail.Length(), 10))
+		length += result.Tail.Length()
+	default:
+		length = unknownLength
+	}
+	status, ok := writeHead(w, result.Status, result.Header, length)
+	if !ok {
+		h.Engine.Metrics.unprovenRefusals.Inc()
+		h.Log.WithFields(log.Fields{
+			"request": run.query.request.ID, "target": string(result.Target.ID()), "status": result.Status,
+			"outcome": strconv.Itoa(status),
+		}).Info("target's status is not passed on: it would say that the request has not run")
+		return status
 	}
-	w.WriteHeader(result.Status)
 	_, _ = w.Write(result.Body) // an error means that the caller has left
-	return result.Status
+	return status
+}
+
+// unknownLength is the length of a body that ends with its connection or its last chunk.
+const unknownLength = -1
+
+// writeHead writes the head of an answer that a target or another host has given, with a
+// body of length bytes, and returns its status. A status which says that the request has
+// not run and never will is not taken from others: the caller could send a request again
+// that has run. It gets 502 then, as a failure of this host, and writeHead returns false;
+// the body must not be written.
+func writeHead(w http.ResponseWriter, status int, from http.Header, length int64) (int, bool) {
+	if magnoliashore.IsRefusal(status) {
+		return writeFailure(w, http.StatusBadGateway, 0), false
+	}
+	header := w.Header()
+	for name, values := range endToEnd(from) {
+		header[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := header[name]; !ok {
+			header[name] = nil // prevents the server from adding one
+		}
+	}
+	if length != unknownLength {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	w.WriteHeader(status)
+	return status, true
 }
 
 // writeFailure writes an error response of this host, with a Retry-After header
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -112,24 +112,22 @@
 	return f
 }
 
-// passOn writes the answer of another host as it is.
+// passOn writes the answer of another host as it is, unless it is a refusal that may be
+// that of a target.
 func (h *Handler) passOn(w http.ResponseWriter, r *http.Request, route *catalog.Route, q *query, peer string, resp *http.Response) {
 	defer closeBody(resp)
-	header := w.Header()
-	for name, values := range endToEnd(resp.Header) {
-		header[name] = values
-	}
-	for _, name := range []string{"Content-Type", "Date"} {
-		if _, ok := header[name]; !ok {
-			header[name] = nil // prevents the server from adding one
-		}
+	if relay.IsOwnRefusal(resp) {
+		h.logForward(r, route, q, peer).WithField("outcome", strconv.Itoa(resp.StatusCode)).Info("request passed on, and refused there")
+		w.Header()["Retry-After"] = resp.Header["Retry-After"]
+		writeFailure(w, resp.StatusCode, 0)
+		return
 	}
-	if resp.ContentLength >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	status, ok := writeHead(w, resp.StatusCode, resp.Header, max(resp.ContentLength, unknownLength))
+	var err error
+	if ok {
+		_, err = io.Copy(w, resp.Body)
 	}
-	w.WriteHeader(resp.StatusCode)
-	_, err := io.Copy(w, resp.Body)
-	h.logForward(r, route, q, peer).WithField("outcome", strconv.Itoa(resp.StatusCode)).Info("request passed on")
+	h.logForward(r, route, q, peer).WithField("outcome", strconv.Itoa(status)).WithField("status", resp.StatusCode).Info("request passed on")
 	if err == nil {
 		return
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -126,7 +126,7 @@
 	q.setStage(waitsForConnection)
 	run, decision, ok := h.Engine.run(r.Context(), q)
 	defer run.cancel()
-	if ok && decision == scatter.Fail && !q.forwarded && !run.progress.MayHaveRun() && h.Engine.lacksTargets(q) {
+	if ok && decision == scatter.Fail && !q.forwarded && !run.mayHaveRun() && h.Engine.lacksTargets(q) {
 		admitted.done(false)
 		h.forward(w, r, route, q)
 		return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,21 +10,23 @@
 
 // Metrics holds the metrics of a host.
 type Metrics struct {
-	set            *metrics.Set
-	answerTime     *metrics.Histogram // seconds until a query has its answer
-	whole          *metrics.Counter
-	partial        *metrics.Counter
-	refused        *metrics.Counter
-	failed         *metrics.Counter
-	expired        *metrics.Counter
-	abandoned      *metrics.Counter
-	unrouted       *metrics.Counter
-	attempts       *metrics.Counter
-	extraAttempts  *metrics.Counter
-	overBudget     *metrics.Counter
-	newConnections *metrics.Counter
-	batches        *metrics.Counter
-	logDropped     *metrics.Counter
+	set        *metrics.Set
+	answerTime *metrics.Histogram // seconds until a query has its answer
+	whole      *metrics.Counter
+	partial    *metrics.Counter
+	refused    *metrics.Counter
+	failed     *metrics.Counter
+	expired    *metrics.Counter
+	abandoned  *metrics.Counter
+	// Answers of targets whose status says, without proof, that the request has not run.
+	unprovenRefusals *metrics.Counter
+	unrouted         *metrics.Counter
+	attempts         *metrics.Counter
+	extraAttempts    *metrics.Counter
+	overBudget       *metrics.Counter
+	newConnections   *metrics.Counter
+	batches          *metrics.Counter
+	logDropped       *metrics.Counter
 
 	limitChanges   *metrics.Counter // limits that targets began, changed or ended
 	overLimit      *metrics.Counter // attempts that were not sent to a target that is at its limit
@@ -72,13 +74,14 @@
 		batches:        s.NewCounter("magnoliashore_gateway_batches_total"),
 		logDropped:     s.NewCounter("magnoliashore_gateway_log_lines_dropped_total"),
 
-		limitChanges:    s.NewCounter("magnoliashore_gateway_limit_changes_total"),
-		overLimit:       s.NewCounter("magnoliashore_gateway_over_limit_total"),
-		answersTooLong:  s.NewCounter("magnoliashore_gateway_answers_too_long_total"),
-		targetsEnded:    s.NewCounter("magnoliashore_gateway_targets_ended_total"),
-		suspectsRefused: s.NewCounter("magnoliashore_gateway_suspects_refused_total"),
-		suspectsCleared: s.NewCounter("magnoliashore_gateway_suspects_cleared_total"),
-		noticesDropped:  s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
+		limitChanges:     s.NewCounter("magnoliashore_gateway_limit_changes_total"),
+		overLimit:        s.NewCounter("magnoliashore_gateway_over_limit_total"),
+		answersTooLong:   s.NewCounter("magnoliashore_gateway_answers_too_long_total"),
+		targetsEnded:     s.NewCounter("magnoliashore_gateway_targets_ended_total"),
+		unprovenRefusals: s.NewCounter("magnoliashore_gateway_unproven_refusals_total"),
+		suspectsRefused:  s.NewCounter("magnoliashore_gateway_suspects_refused_total"),
+		suspectsCleared:  s.NewCounter("magnoliashore_gateway_suspects_cleared_total"),
+		noticesDropped:   s.NewCounter("magnoliashore_gateway_notices_dropped_total"),
 
 		callersEvicted:  s.NewCounter("magnoliashore_gateway_callers_evicted_total"),
 		callersRejected: s.NewCounter("magnoliashore_gateway_callers_rejected_total"),
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -314,7 +314,8 @@
 	if r.query.scatter {
 		return result.Ran() && r.engine.Pool.Dialect.Signature(result.Reply.Signature)
 	}
-	return result.Status < http.StatusInternalServerError || r.query.params.AtMostOnce
+	failed := result.Status >= http.StatusInternalServerError || magnoliashore.IsRefusal(result.Status)
+	return !failed || r.query.params.AtMostOnce
 }
 
 // addResult adds the answer of a target. Later answers of the same shard are
@@ -343,6 +344,9 @@
 	return r.answer.Tail
 }
 
+// mayHaveRun reports whether any attempt at the query may have run.
+func (r *queryRun) mayHaveRun() bool { return r.progress.MayHaveRun() || r.query.probed }
+
 // bodyErr returns the error of reading a streamed body of the caller, or nil.
 func (r *queryRun) bodyErr() error {
 	if r.query.request.Stream == nil {
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -151,18 +151,18 @@
 		if err != nil {
 			// The target may have refused the request before reading all of
 			// it, so its answer is still read.
-			result := p.readMatching(c, req)
+			result := p.readMatching(c, req, attempt.Target.ID())
 			result.Sent, result.NewConnection, c.noReuse = true, newConnection, true
 			return result
 		}
-		result := p.readMatching(c, req)
+		result := p.readMatching(c, req, attempt.Target.ID())
 		result.Sent, result.NewConnection = true, newConnection
 		return result
 	}
 	written := make(chan error, 1)
 	go func() { written <- writeBody(c, head, req) }()
 	c.writeDone = written
-	result := p.readMatching(c, req)
+	result := p.readMatching(c, req, attempt.Target.ID())
 	result.Sent, result.NewConnection = true, newConnection
 	return result
 }
@@ -193,7 +193,7 @@
 
 // readMatching reads the answer to this request and skips a few that belong to
 // earlier requests.
-func (p *Pool) readMatching(c *conn, req Request) Result {
+func (p *Pool) readMatching(c *conn, req Request, target magnoliashore.TargetID) Result {
 	for range maxMismatched + 1 {
 		result := p.readAnswer(c, req)
 		if result.Err != nil {
@@ -201,6 +201,7 @@
 		}
 		if !p.mismatched(c, req, result) {
 			c.lastSignature = result.Reply.Signature
+			result.Reply.NotRun = result.Reply.NotRun || otherTarget(result.Reply, target)
 			return result
 		}
 		if result.Tail != nil {
@@ -210,6 +211,12 @@
 	return Result{Err: errMismatch}
 }
 
+// otherTarget reports whether another target than the one that the request was meant for
+// has answered, so that the request has not run.
+func otherTarget(reply magnoliashore.TargetReply, target magnoliashore.TargetID) bool {
+	return reply.Misdirected && reply.Instance != "" && reply.Instance != string(target)
+}
+
 // mismatched reports whether an answer belongs to an earlier request on the
 // connection: it names another request or repeats the previous signature.
 func (p *Pool) mismatched(c *conn, req Request, result Result) bool {
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -24,6 +24,9 @@
 const (
 	// headerRefused is sent with an answer if the host has not taken the request on.
 	headerRefused = "Forward-Refused"
+	// headerOwnRefusal is sent with a refusal that is the host's own: the request has not
+	// run. Hosts of earlier versions lack it, and pass the refusals of targets on as well.
+	headerOwnRefusal = "Forward-Own-Refusal"
 	// Bytes of a forwarded request: a body that is held, and its header.
 	maxForwardSize = 2 << 20
 	// Bytes of the head of an answer.
@@ -113,13 +116,35 @@
 	return resp, nil
 }
 
+// IsOwnRefusal reports whether an answer of another host is its own refusal of the
+// request, which has certainly not run.
+func IsOwnRefusal(resp *http.Response) bool {
+	return magnoliashore.IsRefusal(resp.StatusCode) && resp.Header.Get(headerOwnRefusal) != ""
+}
+
+// refusalMarker marks the refusals that a host writes as its own.
+type refusalMarker struct {
+	http.ResponseWriter
+}
+
+// WriteHeader writes the head of an answer.
+func (m refusalMarker) WriteHeader(status int) {
+	if magnoliashore.IsRefusal(status) {
+		m.Header().Set(headerOwnRefusal, "1")
+	}
+	m.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (m refusalMarker) Unwrap() http.ResponseWriter { return m.ResponseWriter }
+
 // CloseIdle closes the connections that no request uses, which may be silent.
 func (f *Forwarder) CloseIdle() { f.client.CloseIdleConnections() }
 
 // ForwardServer takes whole requests from other hosts.
 type ForwardServer struct {
-	// Handle answers a request. It returns an error, and writes nothing, if it does not
-	// take the request on. The request has no deadline in its context.
+	// Handle answers a request, and refuses it only if it has not run. It returns an error,
+	// and writes nothing, if it does not take the request on. The request has no deadline in its context.
 	Handle func(w http.ResponseWriter, r *http.Request, timeout, elapsed time.Duration) error
 	Log    log.Interface
 }
@@ -130,7 +155,7 @@
 func (s *ForwardServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request, timeout, elapsed, err := decodeForward(r)
 	if err == nil {
-		err = s.Handle(w, request, timeout, elapsed)
+		err = s.Handle(refusalMarker{w}, request, timeout, elapsed)
 	}
 	if err != nil {
 		s.Log.WithError(err).WithField("peer", r.RemoteAddr).Info("request of another host refused")
