--- a/dialect.go
+++ b/dialect.go
@@ -37,6 +37,7 @@
 	NotRun      bool          // whether the request did not run and never will
 	Misdirected bool          // whether the request was meant for another target, as the answer has it
 	Instance    string        // ID of the process that answered; empty if absent
+	Leaving     bool          // whether the target that answered leaves
 	Cold        time.Duration // remaining time for which the target is cold; zero if absent
 	Limited     bool          // whether the target names a limit
 	Limit       float64       // requests per second that the target takes from all hosts together
