fix(registry): send nothing to a target that says in an answer that it leaves

Cause: nothing read Server-Leaving.

Fix: the pool reports each head with the field, also of refusals, skipped, interim and broken-off answers. The table keeps the departure for the life of the process, and the view leaves the target out, or keeps it as a last resort for the grace period if its service has no other. A host that passes an answer of another host on learns it too.

Why it works: every choice of a target and every wait for a connection goes by the view.

--- a/catalog/target.go
+++ b/catalog/target.go
@@ -59,6 +59,14 @@
 	return t.SameProcess(other) && t.spec.Report < other.spec.Report
 }
 
+// MayBe reports whether a later report may come from the process of an earlier one.
+func (t *Target) MayBe(earlier *Target) bool {
+	if t.spec.ID != earlier.spec.ID || t.spec.Address != earlier.spec.Address || t.spec.ProcessStart != earlier.spec.ProcessStart {
+		return false
+	}
+	return t.spec.ProcessStart != 0 || t.spec.Report >= earlier.spec.Report // the number begins anew with a process
+}
+
 // SameProcess reports whether two reports are known to come from one process.
 func (t *Target) SameProcess(other *Target) bool {
 	return t.spec.ID == other.spec.ID && t.spec.ProcessStart == other.spec.ProcessStart && t.spec.ProcessStart != 0
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
 )
 
@@ -60,6 +61,9 @@
 	default:
 		length = unknownLength
 	}
+	if run.query.forwarded && result.Reply.Leaving {
+		relay.SetLeaving(w.Header(), result.Target.ID())
+	}
 	status, ok := writeHead(w, result.Status, result.Header, length)
 	if !ok {
 		h.Engine.Metrics.unprovenRefusals.Inc()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -116,6 +116,9 @@
 // that of a target.
 func (h *Handler) passOn(w http.ResponseWriter, r *http.Request, route *catalog.Route, q *query, peer string, resp *http.Response) {
 	defer closeBody(resp)
+	if t := h.Engine.View().Target(relay.TakeLeaving(resp.Header)); t != nil && h.Engine.Pool.OnLeaving != nil {
+		h.Engine.Pool.OnLeaving(t) // its answer is passed on by this host as well
+	}
 	if relay.IsOwnRefusal(resp) {
 		h.logForward(r, route, q, peer).WithField("outcome", strconv.Itoa(resp.StatusCode)).Info("request passed on, and refused there")
 		w.Header()["Retry-After"] = resp.Header["Retry-After"]
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -171,7 +171,7 @@
 	h.Metrics.observeEntries(h.reader)
 	h.engine = &Engine{
 		Zone: s.Zone, View: h.reader.View, Hosts: h.hosts, Timer: h.Timer, Log: h.Log, Metrics: h.Metrics,
-		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes, Dial: h.DialTarget, Lookup: h.lookup},
+		Pool:        &origin.Pool{Dialect: h.Dialect, Timer: h.Timer, MaxBody: maxAnswerBytes, MaxBuffered: maxBufferedBytes, Dial: h.DialTarget, Lookup: h.lookup, OnLeaving: h.reader.Depart},
 		Balancer:    &balance.Balancer{Zone: s.Zone, Random: newRandom()},
 		Budget:      &retry.Budget{Limit: s.Retries, Started: h.started},
 		ColdLimiter: &admit.ColdLimiter{Limit: s.Cold},
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/tcp"
 )
 
@@ -151,18 +152,18 @@
 		if err != nil {
 			// The target may have refused the request before reading all of
 			// it, so its answer is still read.
-			result := p.readMatching(c, req, attempt.Target.ID())
+			result := p.readMatching(c, req, attempt.Target)
 			result.Sent, result.NewConnection, c.noReuse = true, newConnection, true
 			return result
 		}
-		result := p.readMatching(c, req, attempt.Target.ID())
+		result := p.readMatching(c, req, attempt.Target)
 		result.Sent, result.NewConnection = true, newConnection
 		return result
 	}
 	written := make(chan error, 1)
 	go func() { written <- writeBody(c, head, req) }()
 	c.writeDone = written
-	result := p.readMatching(c, req, attempt.Target.ID())
+	result := p.readMatching(c, req, attempt.Target)
 	result.Sent, result.NewConnection = true, newConnection
 	return result
 }
@@ -193,15 +194,15 @@
 
 // readMatching reads the answer to this request and skips a few that belong to
 // earlier requests.
-func (p *Pool) readMatching(c *conn, req Request, target magnoliashore.TargetID) Result {
+func (p *Pool) readMatching(c *conn, req Request, target *catalog.Target) Result {
 	for range maxMismatched + 1 {
-		result := p.readAnswer(c, req)
+		result := p.readAnswer(c, req, target)
 		if result.Err != nil {
 			return result
 		}
 		if !p.mismatched(c, req, result) {
 			c.lastSignature = result.Reply.Signature
-			result.Reply.NotRun = result.Reply.NotRun || otherTarget(result.Reply, target)
+			result.Reply.NotRun = result.Reply.NotRun || misdirected(result.Reply, target)
 			return result
 		}
 		if result.Tail != nil {
@@ -211,10 +212,19 @@
 	return Result{Err: errMismatch}
 }
 
-// otherTarget reports whether another target than the one that the request was meant for
-// has answered, so that the request has not run.
-func otherTarget(reply magnoliashore.TargetReply, target magnoliashore.TargetID) bool {
-	return reply.Misdirected && reply.Instance != "" && reply.Instance != string(target)
+// misdirected reports whether another target says that the request was not meant for it,
+// so that the request has not run.
+func misdirected(reply magnoliashore.TargetReply, target *catalog.Target) bool {
+	return reply.Misdirected && reply.Instance != "" && byOther(reply, target)
+}
+
+// byOther reports whether another process than the target has given an answer: it names
+// itself, or the request was not meant for it.
+func byOther(reply magnoliashore.TargetReply, target *catalog.Target) bool {
+	if reply.Instance == "" {
+		return reply.Misdirected
+	}
+	return reply.Instance != string(target.ID())
 }
 
 // mismatched reports whether an answer belongs to an earlier request on the
@@ -228,8 +238,8 @@
 
 // readAnswer reads one complete answer. If the request allows a Tail, it reads
 // only the first bytes of a long one.
-func (p *Pool) readAnswer(c *conn, req Request) Result {
-	resp, err := p.readFinal(c, req)
+func (p *Pool) readAnswer(c *conn, req Request, target *catalog.Target) Result {
+	resp, err := p.readFinal(c, req, target)
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "reading the target's answer")}
 	}
@@ -264,7 +274,7 @@
 
 // readFinal reads the final response and skips interim (1xx) ones. It fails with
 // ErrTooLong if their heads are too long together.
-func (p *Pool) readFinal(c *conn, req Request) (*http.Response, error) {
+func (p *Pool) readFinal(c *conn, req Request, target *catalog.Target) (*http.Response, error) {
 	c.bound.Allow(maxHeadBytes)
 	defer c.bound.AllowAll() // the body has a bound of its own
 	for {
@@ -275,6 +285,7 @@
 		if err != nil {
 			return nil, err
 		}
+		p.observeHead(resp, target)
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -284,6 +295,16 @@
 	}
 }
 
+// observeHead reports a target that leaves by the head of an answer.
+func (p *Pool) observeHead(resp *http.Response, target *catalog.Target) {
+	if p.OnLeaving == nil {
+		return
+	}
+	if reply := p.Dialect.Reply(resp.StatusCode, resp.Header); reply.Leaving && !byOther(reply, target) {
+		p.OnLeaving(target)
+	}
+}
+
 // keepAliveTimeout returns the timeout of the Keep-Alive header; zero if there is
 // none.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -102,6 +102,9 @@
 	// does not return any more, or returns with another address, are ended by Retain
 	// unless they were sent. If Lookup is nil, all targets may get requests.
 	Lookup func(id magnoliashore.TargetID) *catalog.Target
+	// OnLeaving is called for each answer in which a target says that it leaves, also if
+	// nobody waits for the answer any more or its body breaks off; may be nil.
+	OnLeaving func(t *catalog.Target)
 	// Dial opens connections to targets; nil for TCP with the timeouts of this package.
 	Dial DialFunc
 
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -73,6 +73,23 @@
 	return r.Table.Position()
 }
 
+// Depart records that a target has said in an answer that it leaves. Requests go to other
+// targets of its service from then on, or for the grace period to this one if there is
+// none. Nothing is sent to it after that.
+func (r *Reader) Depart(t *catalog.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Timer.Now()
+	if !r.Table.Depart(now, t) {
+		return
+	}
+	r.Log.WithFields(log.Fields{
+		"target": string(t.ID()), "service": string(t.Service()), "address": t.Address(), "born": t.ProcessStart(),
+		"age": now.Sub(r.lastContact).Round(time.Millisecond).String(),
+	}).Info("target says that it leaves")
+	r.publishView(now)
+}
+
 // Skipped returns how many items were not applied because they were outdated.
 func (r *Reader) Skipped() uint64 { return r.skipped.Load() }
 
--- a/registry/table.go
+++ b/registry/table.go
@@ -79,6 +79,7 @@
 	unseen     span   // removals in it, of keys that the table never had, are unknown
 	position   Position
 	config     *catalog.Config
+	departures map[magnoliashore.TargetID]departure
 }
 
 // Position returns the position up to which the table is complete; zero before
@@ -261,17 +262,25 @@
 }
 
 // View returns the usable configuration and targets at now, and the time at which
-// they change without another report; zero if they do not. Lapsed targets are
-// used only for services without another target.
+// they change without another report; zero if they do not. Lapsed targets, and those
+// that say themselves that they leave, are used only for services without another target.
 func (tbl *Table) View(now time.Time) (*catalog.View, time.Time) {
 	next := tbl.expire(now)
 	evacuated := tbl.evacuatedZones()
+	lastResort, end := tbl.departing(now)
+	if next.IsZero() || !end.IsZero() && end.Before(next) {
+		next = end
+	}
 	ready := make(map[magnoliashore.ServiceName]bool)
 	var targets, lapsed []*catalog.Target
 	for _, e := range tbl.entries {
 		t := e.decoded.Target
 		switch {
 		case t == nil || t.Leaving() || evacuated[t.Zone()]:
+		case tbl.hasDeparted(t):
+			if lastResort[t.ID()] {
+				lapsed = append(lapsed, t)
+			}
 		case e.expires.IsZero():
 			ready[t.Service()] = true
 			targets = append(targets, t)
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -27,6 +27,8 @@
 	// headerOwnRefusal is sent with a refusal that is the host's own: the request has not
 	// run. Hosts of earlier versions lack it, and pass the refusals of targets on as well.
 	headerOwnRefusal = "Forward-Own-Refusal"
+	// headerLeaving names a target that says in the answer that it leaves.
+	headerLeaving = "Forward-Leaving"
 	// Bytes of a forwarded request: a body that is held, and its header.
 	maxForwardSize = 2 << 20
 	// Bytes of the head of an answer.
@@ -122,6 +124,17 @@
 	return magnoliashore.IsRefusal(resp.StatusCode) && resp.Header.Get(headerOwnRefusal) != ""
 }
 
+// SetLeaving records in an answer to another host that the target which gave it leaves.
+func SetLeaving(h http.Header, id magnoliashore.TargetID) { h.Set(headerLeaving, string(id)) }
+
+// TakeLeaving returns the target that leaves according to an answer of another host, or
+// an empty ID, and removes it from the header.
+func TakeLeaving(h http.Header) magnoliashore.TargetID {
+	id := h.Get(headerLeaving)
+	h.Del(headerLeaving)
+	return magnoliashore.TargetID(id)
+}
+
 // refusalMarker marks the refusals that a host writes as its own.
 type refusalMarker struct {
 	http.ResponseWriter
