--- a/catalog/target.go
+++ b/catalog/target.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -79,15 +80,21 @@
 	targets map[magnoliashore.ServiceName][]*Target
 	byID    map[magnoliashore.TargetID]*Target
 	byZone  map[magnoliashore.ZoneName][]*Target
+	others  map[magnoliashore.ServiceName][]*Target
 }
 
-// NewView returns a view of config and targets; config may be nil.
-func NewView(config *Config, targets []*Target) *View {
+// NewView returns a view of config, of the targets that may get requests, and of others
+// that are known; config may be nil.
+func NewView(config *Config, targets []*Target, others ...*Target) *View {
 	v := &View{
 		config:  config,
 		targets: make(map[magnoliashore.ServiceName][]*Target),
 		byID:    make(map[magnoliashore.TargetID]*Target, len(targets)),
 		byZone:  make(map[magnoliashore.ZoneName][]*Target),
+		others:  make(map[magnoliashore.ServiceName][]*Target),
+	}
+	for _, t := range others {
+		v.others[t.Service()] = append(v.others[t.Service()], t)
 	}
 	for _, t := range targets {
 		v.byID[t.ID()] = t
@@ -103,6 +110,12 @@
 // Targets returns the targets of a service that may get requests.
 func (v *View) Targets(service magnoliashore.ServiceName) []*Target { return v.targets[service] }
 
+// Known returns all targets of a service that this host knows of, also those that must
+// not get requests: another host may still send them some.
+func (v *View) Known(service magnoliashore.ServiceName) []*Target {
+	return slices.Concat(v.targets[service], v.others[service])
+}
+
 // Has reports whether a target may get requests.
 func (v *View) Has(id magnoliashore.TargetID) bool { return v.byID[id] != nil }
 
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/magnoliashore/magnoliashore"
+	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
 	"github.com/magnoliashore/magnoliashore/suspect"
@@ -15,10 +16,11 @@
 	call    *relay.Call
 	peer    string
 	sent    time.Time
-	useful  bool         // a partial result has arrived
-	ended   bool         // no further result is expected
-	shards  []int        // indexes in the services of the query
-	pending map[int]bool // shards without an outcome
+	view    *catalog.View // when it was sent
+	useful  bool          // a partial result has arrived
+	ended   bool          // no further result is expected
+	shards  []int         // indexes in the services of the query
+	pending map[int]bool  // shards without an outcome
 }
 
 // dispatch sends the first attempts and the batches for all shards.
@@ -112,7 +114,7 @@
 		return false
 	}
 	q, e := r.query, r.engine
-	now := e.Timer.Now()
+	now, view := e.Timer.Now(), e.View()
 	request := relay.Request{
 		ID: q.request.ID, Method: q.request.Method, URI: q.request.URI, Host: q.request.Host,
 		Header: q.request.Header, Body: q.request.Body, Kind: q.kind, Priority: q.request.Priority,
@@ -127,7 +129,7 @@
 	if err != nil {
 		return false
 	}
-	sent := &batch{call: call, peer: b.Peer, sent: now, shards: b.Shards, pending: make(map[int]bool)}
+	sent := &batch{call: call, peer: b.Peer, sent: now, view: view, shards: b.Shards, pending: make(map[int]bool)}
 	for _, i := range b.Shards {
 		sent.pending[i] = true
 		r.progress.RecordDelegation(now, i)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliashore/magnoliashore"
@@ -393,14 +394,37 @@
 // retryLostBatch retries from this host the pending shards of a batch whose
 // host is lost.
 func (r *queryRun) retryLostBatch(b *batch) {
-	now := r.engine.Timer.Now()
+	lost, retried := len(b.pending), 0
 	for i := range b.pending {
 		delete(b.pending, i)
-		r.progress.Undelegate(now, i)
-		if !r.progress.RecordFailure(i, true) || r.engine.endsUnder(r.query, nil) > 0 || !r.tryShard(i, extraAttempt) {
-			r.progress.GiveUp(i)
+		r.progress.Undelegate(i, r.mayHaveUsed(b, i))
+		if r.progress.RecordFailure(i, true) && r.engine.endsUnder(r.query, nil) == 0 && r.tryShard(i, extraAttempt) {
+			retried++
+			continue
+		}
+		if r.failures[i] == "" {
+			r.failures[i] = string(r.query.services[i]) + " was left to " + b.peer + ", which is lost"
+		}
+		r.progress.GiveUp(i)
+	}
+	if lost > 0 {
+		r.engine.Log.WithFields(log.Fields{
+			"request": r.query.request.ID, "peer": b.peer, "shards": len(b.shards), "lost": lost, "retried": retried,
+			"took": r.engine.Timer.Now().Sub(b.sent).Round(100 * time.Microsecond).String(),
+		}).Info("host of a batch is lost")
+	}
+}
+
+// mayHaveUsed returns how many targets of a shard the host of a batch may have used:
+// those that this host knew when it sent the batch, or has heard of since.
+func (r *queryRun) mayHaveUsed(b *batch, i int) int {
+	ids := make(map[magnoliashore.TargetID]bool)
+	for _, view := range []*catalog.View{b.view, r.engine.View()} {
+		for _, t := range view.Known(r.query.services[i]) {
+			ids[t.ID()] = true
 		}
 	}
+	return len(ids)
 }
 
 // returnBatchShard queries a shard from this host, since the host of its batch has
--- a/registry/table.go
+++ b/registry/table.go
@@ -272,15 +272,15 @@
 		next = end
 	}
 	ready := make(map[magnoliashore.ServiceName]bool)
-	var targets, lapsed []*catalog.Target
+	var targets, lapsed, others []*catalog.Target
 	for _, e := range tbl.entries {
 		t := e.decoded.Target
 		switch {
-		case t == nil || t.Leaving() || evacuated[t.Zone()]:
+		case t == nil:
+		case t.Leaving() || evacuated[t.Zone()] || tbl.hasDeparted(t) && !lastResort[t.ID()]:
+			others = append(others, t)
 		case tbl.hasDeparted(t):
-			if lastResort[t.ID()] {
-				lapsed = append(lapsed, t)
-			}
+			lapsed = append(lapsed, t)
 		case e.expires.IsZero():
 			ready[t.Service()] = true
 			targets = append(targets, t)
@@ -289,12 +289,14 @@
 		}
 	}
 	for _, t := range lapsed {
-		if !ready[t.Service()] {
+		if ready[t.Service()] {
+			others = append(others, t)
+		} else {
 			targets = append(targets, t)
 		}
 	}
 	slices.SortFunc(targets, func(x, y *catalog.Target) int { return cmp.Compare(x.ID(), y.ID()) })
-	return catalog.NewView(tbl.config, targets), next
+	return catalog.NewView(tbl.config, targets, others...), next
 }
 
 // evacuatedZones returns the availability zones that operators have evacuated.
--- a/scatter/progress.go
+++ b/scatter/progress.go
@@ -70,14 +70,15 @@
 	p.shards[i].delegated = true
 }
 
-// Undelegate records that the host to which a shard was delegated is lost. That
-// host may have run the request. If the hedge was due by then, it may also have
-// made a second attempt, which is counted.
-func (p *Progress) Undelegate(now time.Time, i int) {
+// Undelegate records that the host to which a shard was delegated is lost. That host may
+// have made all attempts, and may still make them, at any of so many targets. A further
+// attempt is allowed only if it cannot be at one target too many, since the shard has no
+// more than may be tried.
+func (p *Progress) Undelegate(i, targets int) {
 	s := &p.shards[i]
 	s.delegated = false
-	if p.params.HedgeAfter > 0 && now.Sub(s.lastAttempt) >= p.params.HedgeAfter {
-		s.attempts++
+	if targets > p.params.MaxAttempts {
+		s.attempts = p.params.MaxAttempts
 	}
 }
 
--- a/scatter/progress_test.go
+++ b/scatter/progress_test.go
@@ -168,25 +168,25 @@
 	}
 }
 
-// TestRecalledShards loses the host of a batch before and after its hedge of a
-// shard was due. Of two attempts, one is left only before.
+// TestRecalledShards loses the host of a batch, which may have made both attempts at a
+// shard at any time. A further one is allowed only if the shard has just two targets.
 func TestRecalledShards(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
 		name       string
-		at         time.Time
+		targets    int
 		atMostOnce bool
 		want       bool
 	}{
-		{"before the hedge was due", at(20), false, true},
-		{"after the hedge was due", at(40), false, false},
-		{"at most once", at(20), true, false},
+		{"as many targets as attempts", 2, false, true},
+		{"more targets than attempts", 3, false, false},
+		{"at most once", 2, true, false},
 	} {
 		p := params()
 		p.AtMostOnce = test.atMostOnce
 		r := scatter.NewProgress(p, start)
 		r.RecordDelegation(start, 1)
-		r.Undelegate(test.at, 1)
+		r.Undelegate(1, test.targets)
 		if got := r.RecordFailure(1, true); got != test.want {
 			t.Errorf("%s: got a retry allowed %t, want %t", test.name, got, test.want)
 		}
