fix(gateway): keep the result of a suspected query's first shard

A query under which targets have ended asks one shard first, and all shards once that has answered, the first one among them: with two attempts at other targets, three in all, one more than its route allows. TestSuspectedRequestReachesMoreTargetsThanAttempts failed before with two requests at the first shard. The result is kept now, which also saves the request.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -27,7 +27,9 @@
 func (r *queryRun) dispatch() {
 	if !r.query.useHelpers {
 		for i := range r.query.services {
-			r.tryShard(i, firstAttempt)
+			if !r.progress.HasResult(i) {
+				r.tryShard(i, firstAttempt)
+			}
 		}
 		return
 	}
@@ -38,6 +40,7 @@
 		zones[zone] = zone != r.engine.Zone
 	}
 	routing := scatter.Plan(r.engine.Zone, r.replicas(), zones, newRandom())
+	routing = routing.Without(r.progress.HasResult)
 	routing = scatter.Spread(routing, r.engine.Zone, hosts.Capacity(), helpers)
 	for _, b := range routing.Batches {
 		if !r.sendBatch(b) {
--- a/gateway/lost_test.go
+++ b/gateway/lost_test.go
@@ -132,3 +132,45 @@
 		},
 	}
 }
+
+// TestSuspectedRequestReachesMoreTargetsThanAttempts guards against a suspected query whose
+// first shard is queried again with the others, at other targets: its result is kept.
+func TestSuspectedRequestReachesMoreTargetsThanAttempts(t *testing.T) {
+	t.Parallel()
+	const attempts = 2
+	for range 20 { // the first shard is chosen at random
+		var mu sync.Mutex
+		ran := make(map[string]int)
+		targets := make([]*catalog.Target, 0, 6)
+		for _, service := range []string{"s", "x"} {
+			for i := range 3 {
+				id := service + strconv.Itoa(i)
+				targets = append(targets, startReplica(t, id, service, func(w http.ResponseWriter, _ *http.Request) {
+					mu.Lock()
+					defer mu.Unlock()
+					if ran[service]++; ran[service] > 1 {
+						panic(http.ErrAbortHandler)
+					}
+					w.Header().Set("Proof", "p-"+service)
+				}))
+			}
+		}
+		e := testEngine(catalog.NewView(nil, targets), retry.Limit{Window: 10 * time.Second, Slack: 10})
+		e.Pool = &origin.Pool{Dialect: signedDialect{}, Timer: e.Timer, MaxBody: 1 << 10}
+		q := twoShards(attempts)
+		q.suspected, q.useHelpers = true, false
+		r, decision, ok := e.run(t.Context(), q)
+		r.cancel()
+		if !ok || decision != scatter.Answer || r.progress.Missing() != 0 {
+			t.Fatalf("got decision %d with %d shards missing, want an answer with all: %s", decision, r.progress.Missing(), r.failureSummary())
+		}
+		if got := r.signatures(); len(got) != 2 || got[0] == got[1] {
+			t.Errorf("got signatures %v, want one of each shard", got)
+		}
+		for service, got := range ran {
+			if got != 1 {
+				t.Errorf("shard %s: got %d requests, want 1", service, got)
+			}
+		}
+	}
+}
--- a/gateway/query.go
+++ b/gateway/query.go
@@ -43,8 +43,9 @@
 	sent      atomic.Bool // an attempt that was sent to a target has ended
 	sending   atomic.Bool // an attempt was sent to a target, or the query to another host
 	stage     atomic.Int32
-	probed    bool   // one of its shards has answered before the others were queried
-	whole     *query // the query of which this one is the first shard; nil for others
+	probed    bool         // one of its shards has answered before the others were queried
+	first     mergedResult // of that shard
+	whole     *query       // the query of which this one is the first shard; nil for others
 	// withdrawn is closed if the query must not be sent any more, since this host
 	// stops; nil for never.
 	withdrawn chan struct{}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -76,6 +75,11 @@
 		started:  now,
 		failures: make(map[int]string),
 	}
+	for _, i := range q.first.shards {
+		r.progress.RecordAttempt(now, i)
+		r.progress.AddResult(i)
+		r.results = append(r.results, q.first)
+	}
 	r.dispatch()
 	return r
 }
@@ -85,13 +89,14 @@
 //
 // A suspected query is not hedged. If it is over shards, one shard is queried first,
 // and the others only if its target completes the query: else the query would end a
-// target of each shard.
+// target of each shard. The result of the first one is kept: another attempt at it could
+// be at one target too many.
 func (e *Engine) run(ctx context.Context, q *query) (*queryRun, scatter.Decision, bool) {
 	if q.suspected {
 		q.params.HedgeAfter = 0
 	}
 	if q.suspected && q.scatter {
-		first := q.firstShard(e.View())
+		first, index := q.firstShard(e.View())
 		r, decision, ok := e.runToDecision(ctx, first)
 		if first.sent.Load() {
 			q.sent.Store(true)
@@ -100,7 +105,7 @@
 			return r, decision, ok
 		}
 		r.cancel()
-		q.probed = true
+		q.probed, q.first = true, mergedResult{shards: []int{index}, signatures: r.signatures(), records: r.results[0].records}
 		elapsed := e.Timer.Now().Sub(r.started)
 		q.params.Timeout -= elapsed
 		q.params.PartialAfter = max(q.params.PartialAfter-elapsed, 1)
@@ -127,18 +132,25 @@
 	}
 }
 
-// firstShard returns the query for a random one of the shards that have a target.
-func (q *query) firstShard(view *catalog.View) *query {
-	services := slices.DeleteFunc(slices.Clone(q.services), func(s magnoliashore.ServiceName) bool { return len(view.Targets(s)) == 0 })
-	if len(services) == 0 {
-		services = q.services
+// firstShard returns the query for a random one of the shards that have a target, and its
+// index.
+func (q *query) firstShard(view *catalog.View) (*query, int) {
+	var indexes []int
+	for i, service := range q.services {
+		if len(view.Targets(service)) > 0 {
+			indexes = append(indexes, i)
+		}
+	}
+	index := rand.IntN(len(q.services))
+	if len(indexes) > 0 {
+		index = indexes[rand.IntN(len(indexes))]
 	}
 	return &query{
-		request: q.request, received: q.received, kind: q.kind, services: []magnoliashore.ServiceName{services[rand.IntN(len(services))]},
+		request: q.request, received: q.received, kind: q.kind, services: q.services[index : index+1 : index+1],
 		params:   scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1, Timeout: q.params.Timeout},
 		deadline: q.deadline, topK: q.topK, scatter: true, suspected: true, trial: q.trial,
 		withdrawn: q.withdrawn, whole: q,
-	}
+	}, index
 }
 
 // eventsPerBatch is the most events of a batch per shard: one with the partial
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -127,7 +127,8 @@
 	e, q := shardedEngine()
 	q.withdrawn = make(chan struct{})
 	e.inFlight.add(q)
-	q.firstShard(e.View()).recordSend()
+	first, _ := q.firstShard(e.View())
+	first.recordSend()
 	if waiting, all := e.inFlight.withdraw(); waiting != 0 || all != 1 {
 		t.Errorf("got %d of %d requests withdrawn, want none of 1", waiting, all)
 	}
--- a/scatter/route.go
+++ b/scatter/route.go
@@ -68,6 +68,18 @@
 	return routing
 }
 
+// Without returns the routing without the shards that are done.
+func (r Routing) Without(done func(shard int) bool) Routing {
+	rest := Routing{Direct: slices.DeleteFunc(slices.Clone(r.Direct), done)}
+	for _, b := range r.Batches {
+		b.Shards = slices.DeleteFunc(slices.Clone(b.Shards), done)
+		if len(b.Shards) > 0 {
+			rest.Batches = append(rest.Batches, b)
+		}
+	}
+	return rest
+}
+
 // preferredZones returns the zones of the replicas whose cost is within
 // maxCostRatio of the cheapest.
 func preferredZones(list []Replica) []magnoliashore.ZoneName {
