fix(httpd): close the connection of a request that is left without an answer

Cause: net/http ends the context of such a request; the handlers return, and net/http answers 200 for them.

Fix: httpd.Answered around all listeners of a host aborts a request that has no final answer.

Why it works: it is the one place through which all answers go.

--- a/gateway/callerconns_test.go
+++ b/gateway/callerconns_test.go
@@ -33,11 +33,12 @@
 		t.Fatal(err)
 	}
 	c := &crowd{address: l.Addr().String(), hold: make(chan struct{})}
-	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.served.Add(1)
 		if r.URL.Path == "/hold" {
 			<-c.hold
 		}
+		w.WriteHeader(http.StatusOK)
 	})
 	c.server = &callerServer{handler: handler, conns: newCallerConns(&timer.Service{}, &log.Logger{Handler: discard.New()}, NewMetrics())}
 	c.server.conns.setBound(bound)
@@ -238,7 +239,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+		handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 		server := &callerServer{handler: handler, conns: newCallerConns(&timer.Service{}, &log.Logger{Handler: discard.New()}, NewMetrics())}
 		server.conns.setBound(2 * count)
 		go func() { _ = server.run(l) }()
--- a/gateway/host.go
+++ b/gateway/host.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliashore/magnoliashore/admit"
 	"github.com/magnoliashore/magnoliashore/balance"
 	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/httpd"
 	"github.com/magnoliashore/magnoliashore/membership"
 	"github.com/magnoliashore/magnoliashore/notice"
 	"github.com/magnoliashore/magnoliashore/origin"
@@ -297,7 +298,7 @@
 
 // serve serves handler until ctx ends.
 func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout}
+	server := &http.Server{Handler: httpd.Answered(handler), ReadHeaderTimeout: defaultHeaderTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/httpd"
 )
 
 const (
@@ -135,7 +136,7 @@
 // serve starts a server with the current limits. The caller holds mu.
 func (f *callerServer) serve(addr net.Addr) {
 	server := &http.Server{
-		Handler:           f,
+		Handler:           httpd.Answered(f),
 		ReadHeaderTimeout: valueOr(f.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       valueOr(f.limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    valueOr(f.limits.HeaderBytes, defaultHeaderBytes),
