fix(registry): count the grace period of a removal from the contact before it

Cause: it heard of the removal up to 1.9 s late and kept the target for 2.1 s from then on.

Fix: the period counts from the latest known contact with the store before the batch. After two heartbeats without contact, or if the store was restored, it counts from now, since entries of running targets may lack then.

Why it works: the removal is not older than that contact, whatever hosts the entries have come through.

--- a/gateway/host.go
+++ b/gateway/host.go
@@ -49,6 +49,9 @@
 	// Heartbeats after which the store has surely removed the entry of a silent
 	// target: it does so after three.
 	silentHeartbeats = 4
+	// Heartbeats that an outage of the store lasts at least if the entry of a running
+	// target is removed: three without the one that may have come just before it.
+	lapseHeartbeats = 2
 )
 
 // Host runs all components of one host. Set the exported fields before Run.
@@ -165,6 +168,7 @@
 		Table: &registry.Table{
 			Decoder: h.Decoder, GracePeriod: gracePeriod,
 			SilencePeriod: valueOr(silentHeartbeats*s.Heartbeat, s.Drain),
+			OutagePeriod:  valueOr(lapseHeartbeats*s.Heartbeat, s.Drain),
 		},
 		Source: selector, Bootstrap: selector.ListFellow,
 		Timer: h.Timer, Log: h.Log, Joined: h.joined, OnChange: h.viewChanged,
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -185,6 +185,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Timer.Now()
+	batch.Since = r.lastContact
 	r.recordContact(now.Add(-batch.Age))
 	before := r.Table.Position()
 	changes := apply(now, batch)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -42,6 +42,9 @@
 	Source   string        // name of the source, for logs
 	Age      time.Duration // since the last contact with the store; zero if the batch comes from the store itself
 	Hops     int           // hosts that the batch came through; zero if it comes from the store itself
+	// Since is the latest known contact with the store before this batch: the changes in it
+	// may be as old. It is zero for the first batch.
+	Since time.Time
 }
 
 // ErrCompacted means that the changes after a position were discarded, or that
--- a/registry/table.go
+++ b/registry/table.go
@@ -68,6 +68,9 @@
 	// entries of running targets after an outage. An evacuation that a restored
 	// store lacks lasts as long, until it must have been written again.
 	GracePeriod time.Duration
+	// OutagePeriod is the least time without contact with the store after which entries may
+	// be missing because the store was away, and not because their targets have left.
+	OutagePeriod time.Duration
 	// SilencePeriod is how long the store may keep the entry of a silent target.
 	SilencePeriod time.Duration
 
@@ -78,6 +81,7 @@
 	compacted  uint64 // tombstones up to this revision may be missing
 	unseen     span   // removals in it, of keys that the table never had, are unknown
 	position   Position
+	since      time.Time // Batch.Since of the batch that is applied
 	config     *catalog.Config
 	departures map[magnoliashore.TargetID]departure
 }
@@ -132,6 +136,7 @@
 	if batch.Position.Era != tbl.position.Era {
 		return skipAll(batch)
 	}
+	tbl.since = batch.Since
 	if tbl.entries == nil {
 		tbl.entries = make(map[string]*entry)
 		tbl.tombstones = make(map[string]*tombstone)
@@ -225,7 +230,7 @@
 	}
 	tbl.addTombstone(&tombstone{item: item, target: e.decoded.Target})
 	if t := e.decoded.Target; t != nil && !t.Leaving() && tbl.GracePeriod > 0 {
-		e.lapse(item, now.Add(tbl.GracePeriod))
+		e.lapse(item, tbl.graceEnd(now, e))
 		return append(changes, Change{Item: item, Decoded: e.decoded})
 	}
 	if e.decoded.EvacuatedZone != "" && e.former && tbl.GracePeriod > 0 {
@@ -236,6 +241,18 @@
 	return append(changes, Change{Item: item, Decoded: e.decoded})
 }
 
+// graceEnd returns the end of the grace period of an entry that is removed. It counts from
+// the latest contact with the store before, since the removal may be as old: a host that
+// reads from one which is cut off hears of it late. After an outage of the store, or if it
+// was restored, the period counts from now: running targets have to write their entries
+// again.
+func (tbl *Table) graceEnd(now time.Time, e *entry) time.Time {
+	if tbl.since.IsZero() || e.former || now.Sub(tbl.since) > tbl.OutagePeriod {
+		return now.Add(tbl.GracePeriod)
+	}
+	return tbl.since.Add(tbl.GracePeriod)
+}
+
 // lapse keeps an entry until a time after its removal.
 func (e *entry) lapse(removal Item, until time.Time) {
 	e.item, e.former, e.expires = removal, false, until
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -18,6 +18,7 @@
 const (
 	gracePeriod   = 2 * time.Second
 	silencePeriod = 5 * time.Second
+	outagePeriod  = 3 * time.Second
 )
 
 // decoder decodes "target SERVICE STATE", also with " PROCESS REPORT" in digits,
@@ -57,7 +58,7 @@
 }
 
 func newTable() *registry.Table {
-	return &registry.Table{Decoder: decoder{}, GracePeriod: gracePeriod, SilencePeriod: silencePeriod}
+	return &registry.Table{Decoder: decoder{}, GracePeriod: gracePeriod, SilencePeriod: silencePeriod, OutagePeriod: outagePeriod}
 }
 
 func targets(tbl *registry.Table, now time.Time, service magnoliashore.ServiceName) []magnoliashore.TargetID {
@@ -234,3 +235,38 @@
 		t.Errorf("got %d changes and error %v, want the removal, without a listing", len(changes.Items), err)
 	}
 }
+
+// TestGracePeriodOfALateRemoval guards against requests to a target for its whole grace
+// period from when this host hears of its removal, although the store has removed it long
+// before (review case 4): the host has read from one that was cut off. After an outage of
+// the store, in which it drops entries of running targets, the period counts from its
+// return.
+func TestGracePeriodOfALateRemoval(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name    string
+		contact time.Duration // before the removal is heard of; zero for unknown
+		want    time.Duration // how long the target is used after that
+	}{
+		{"heard at once", 50 * time.Millisecond, gracePeriod - 50*time.Millisecond},
+		{"heard late", 1900 * time.Millisecond, gracePeriod - 1900*time.Millisecond},
+		{"heard after the grace period", gracePeriod + time.Millisecond, 0},
+		{"heard after an outage", outagePeriod + time.Millisecond, gracePeriod},
+		{"no contact is known", 0, gracePeriod},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			tbl := newTable()
+			tbl.Apply(start, batch(8, item("a1", "target s ready", 8)))
+			removed := batch(9, removal("a1", 9))
+			if test.contact > 0 {
+				removed.Since = start.Add(-test.contact)
+			}
+			tbl.Apply(start, removed)
+			if test.want > 0 {
+				wantTargets(t, tbl, start.Add(test.want-1), "a1")
+			}
+			wantTargets(t, tbl, start.Add(test.want))
+		})
+	}
+}
