fix(gateway): deliver an answer that arrives while its request is aborted

When a host stops or finds a cut, a long answer that arrived just then was taken in, the caller got 502 and then the rest of the answer. It gets the answer now. And shards whose batch could not be sent took the place of shards in a batch of the own zone that was, in the same array (TestDirectShardsOverwriteABatch: shard 20 for 5).

--- a/gateway/answer_test.go
+++ b/gateway/answer_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,8 +12,11 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/magnoliashore/magnoliashore"
 	"github.com/magnoliashore/magnoliashore/catalog"
+	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
+	"github.com/magnoliashore/magnoliashore/scatter"
 )
 
 // oneFellow has one other host that takes whole requests.
@@ -76,3 +80,23 @@
 		}
 	}
 }
+
+// TestAnswerThatArrivesWhileTheHostStops guards against a 502 for a request whose answer
+// arrives just as its attempts are ended, and against the rest of a long answer that
+// follows the 502.
+func TestAnswerThatArrivesWhileTheHostStops(t *testing.T) {
+	t.Parallel()
+	e, _ := shardedEngine()
+	e.Pool = &origin.Pool{Dialect: signedDialect{}}
+	q := &query{services: []magnoliashore.ServiceName{"s0"}, params: scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1}}
+	_, cancel := context.WithCancel(t.Context())
+	r := &queryRun{
+		engine: e, query: q, progress: scatter.NewProgress(q.params, time.Now()), cancel: cancel, events: make(chan event, 1),
+		reached: make([]bool, 1), tried: make([][]magnoliashore.TargetID, 1), failures: make(map[int]string),
+	}
+	r.progress.RecordAttempt(time.Now(), 0)
+	r.events <- event{result: origin.Result{Status: http.StatusOK, Body: []byte("x"), Sent: true}}
+	if got := r.abort(); got != scatter.Answer || r.answer == nil {
+		t.Errorf("got decision %d, want the answer", got)
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -182,13 +182,11 @@
 			cut = r.engine.nextCut()
 			if !r.query.params.AtMostOnce && r.engine.silentFor(r.query) {
 				wake.Stop()
-				r.abort()
-				return scatter.Fail, true
+				return r.abort(), true
 			}
 		case <-r.engine.stop.ending.Done():
 			wake.Stop()
-			r.abort()
-			return scatter.Fail, true
+			return r.abort(), true
 		case <-wake.C:
 		case <-ctx.Done():
 			wake.Stop()
@@ -200,8 +198,8 @@
 }
 
 // abort ends the attempts and waits for their outcomes, which tell whether any of them
-// may have run.
-func (r *queryRun) abort() {
+// may have run. It returns scatter.Fail, unless an answer arrives just then.
+func (r *queryRun) abort() scatter.Decision {
 	r.cancel()
 	timeout := r.engine.Timer.After(abortTimeout)
 	defer timeout.Stop()
@@ -210,9 +208,13 @@
 		case ev := <-r.events:
 			r.handle(ev)
 		case <-timeout.C:
-			return
+			return scatter.Fail
 		}
 	}
+	if !r.query.scatter && r.answer != nil {
+		return scatter.Answer
+	}
+	return scatter.Fail
 }
 
 // abortTimeout is how long the outcomes of aborted attempts are waited for.
--- a/scatter/spread.go
+++ b/scatter/spread.go
@@ -20,7 +20,7 @@
 func Spread(routing Routing, zone magnoliashore.ZoneName, capacity int, helpers map[magnoliashore.ZoneName][]Helper) Routing {
 	assigned := Routing{Direct: routing.Direct}
 	if len(routing.Direct) > capacity+minBatch && len(helpers[zone]) > 0 {
-		assigned.Direct = routing.Direct[:capacity]
+		assigned.Direct = slices.Clip(routing.Direct[:capacity]) // what follows belongs to a batch
 		assigned.Batches = assign(zone, routing.Direct[capacity:], helpers[zone])
 	}
 	for _, b := range routing.Batches {
--- a/scatter/spread_test.go
+++ b/scatter/spread_test.go
@@ -86,3 +86,19 @@
 		t.Errorf("got %d direct shards, want all of them", len(got.Direct))
 	}
 }
+
+// TestDirectShardsOverwriteABatch guards against shards that are appended to the direct
+// ones, since their batch could not be sent, and take the place of those in a batch that
+// was.
+func TestDirectShardsOverwriteABatch(t *testing.T) {
+	t.Parallel()
+	helpers := map[magnoliashore.ZoneName][]scatter.Helper{"a": {{Peer: "p", Capacity: 10}}}
+	r := scatter.Spread(scatter.Routing{Direct: shardRange(0, 12)}, "a", 5, helpers)
+	if len(r.Batches) != 1 {
+		t.Fatalf("got %d batches, want 1", len(r.Batches))
+	}
+	r.Direct = append(r.Direct, 20, 21)
+	if got, want := r.Batches[0].Shards[0], 5; got != want {
+		t.Errorf("got shard %d in the batch, want %d", got, want)
+	}
+}
