--- a/catalog/route.go
+++ b/catalog/route.go
@@ -69,7 +69,14 @@
 func (r *Route) Scatters() bool { return len(r.spec.Shards) > 0 }
 
 // MaxAttempts returns the most targets of each shard that a request may be sent to.
-func (r *Route) MaxAttempts() int { return max(r.spec.MaxAttempts, 1) }
+func (r *Route) MaxAttempts() int { return ClampAttempts(r.spec.MaxAttempts) }
+
+// mostAttempts is more attempts than a request has time for. Room for the outcomes of all is
+// made when it starts.
+const mostAttempts = 64
+
+// ClampAttempts returns a number of attempts that is possible.
+func ClampAttempts(n int) int { return min(max(n, 1), mostAttempts) }
 
 // TopK returns the number of records in an answer over shards.
 func (r *Route) TopK() int { return r.spec.TopK }
--- a/gateway/batch.go
+++ b/gateway/batch.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/magnoliashore/magnoliashore/catalog"
 	"github.com/magnoliashore/magnoliashore/origin"
 	"github.com/magnoliashore/magnoliashore/relay"
 	"github.com/magnoliashore/magnoliashore/scatter"
@@ -29,7 +30,7 @@
 		received: now, kind: request.Kind, services: request.Shards, deadline: now.Add(request.Timeout), topK: request.TopK, scatter: true,
 		withdrawn: make(chan struct{}),
 		params: scatter.Params{
-			Shards: len(request.Shards), MinShards: 1, MaxAttempts: request.MaxAttempts, HedgeAfter: request.HedgeAfter, Timeout: request.Timeout,
+			Shards: len(request.Shards), MinShards: 1, MaxAttempts: catalog.ClampAttempts(request.MaxAttempts), HedgeAfter: request.HedgeAfter, Timeout: request.Timeout,
 		},
 	}
 	q.setStage(waitsForConnection)
--- a/registry/fetch.go
+++ b/registry/fetch.go
@@ -19,6 +19,12 @@
 	MaxHeadSize = 64 << 10
 )
 
+// errTooLong means that an answer is longer than a host reads.
+var errTooLong = errors.Newf("the answer has more than %d bytes", maxResponseSize)
+
+// IsTooLong reports whether err says that an answer is longer than a host reads.
+func IsTooLong(err error) bool { return errors.Is(err, errTooLong) }
+
 // Fetch sends a GET request to a source of entries at an ip:port and returns the
 // body and the header of the response. It returns ErrCompacted if the source no
 // longer has the requested changes.
@@ -46,7 +52,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize+1))
 	if err == nil && len(body) > maxResponseSize {
-		err = errors.Newf("the answer has more than %d bytes", maxResponseSize)
+		err = errTooLong
 	}
 	if err != nil {
 		return nil, nil, magnoliashore.Step(err, "read entries", address)
--- a/scatter/merge.go
+++ b/scatter/merge.go
@@ -20,5 +20,5 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	return bytes.Join(records[:min(k, len(records))], nil)
+	return bytes.Join(records[:min(max(k, 0), len(records))], nil)
 }
--- a/scatter/merge_test.go
+++ b/scatter/merge_test.go
@@ -54,3 +54,12 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// TestMergeOfNoRecords guards against a number of records below zero, which another host
+// may ask for.
+func TestMergeOfNoRecords(t *testing.T) {
+	t.Parallel()
+	if got := scatter.MergeTopK(-1, [][]byte{make([]byte, 32)}); len(got) != 0 {
+		t.Errorf("got %d bytes, want none", len(got))
+	}
+}
