test(relay): don't report an upgrade that the end of the test breaks off

Traced: once the check has found the silent link it connects again, and the stand-in reports the upgrade that the end of the test cuts. 3 of 8 processes at once failed so before, none of 8 after. While the test runs, an upgrade that fails is an error as before.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -210,8 +210,10 @@
 	silent, _ := connect(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		upgrader := websocket.Upgrader{}
 		socket, err := upgrader.Upgrade(w, r, nil)
-		if err != nil {
+		if err != nil && t.Context().Err() == nil { // the link connects again while the test ends
 			t.Error(err)
+		}
+		if err != nil {
 			return
 		}
 		defer func() { _ = socket.Close() }()
