fix(gateway): pass on no fields between hosts that a target has set

Found in the last reading: a target's answer with Forward-Refused made the host that had passed the request on send it again elsewhere, though it had run; with Forward-Leaving it would take other targets out. writeHead leaves the fields of hosts out (TestFieldsBetweenHostsOfATarget).

With it: the beginning of a long answer that arrives while its request is aborted gets 502, since the rest ends with the attempts; MayBeProcessOf for MayBe; TestForwardEndsWithItsCaller has its caller leave once the request has arrived, not after 50 ms (failed once at load 25, with a request that had not arrived by then).

--- a/catalog/target.go
+++ b/catalog/target.go
@@ -60,8 +60,8 @@
 	return t.SameProcess(other) && t.spec.Report < other.spec.Report
 }
 
-// MayBe reports whether a later report may come from the process of an earlier one.
-func (t *Target) MayBe(earlier *Target) bool {
+// MayBeProcessOf reports whether this report may come from the process of an earlier one.
+func (t *Target) MayBeProcessOf(earlier *Target) bool {
 	if t.spec.ID != earlier.spec.ID || t.spec.Address != earlier.spec.Address || t.spec.ProcessStart != earlier.spec.ProcessStart {
 		return false
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -102,7 +102,9 @@
 	}
 	header := w.Header()
 	for name, values := range endToEnd(from) {
-		header[name] = values
+		if !relay.IsHostField(name) {
+			header[name] = values
+		}
 	}
 	for _, name := range []string{"Content-Type", "Date"} {
 		if _, ok := header[name]; !ok {
--- a/gateway/answer_test.go
+++ b/gateway/answer_test.go
@@ -87,18 +87,27 @@
 // follows the 502.
 func TestAnswerThatArrivesWhileTheHostStops(t *testing.T) {
 	t.Parallel()
-	e, _ := shardedEngine()
-	e.Pool = &origin.Pool{Dialect: signedDialect{}}
-	q := &query{services: []magnoliashore.ServiceName{"s0"}, params: scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1}}
-	_, cancel := context.WithCancel(t.Context())
-	r := &queryRun{
-		engine: e, query: q, progress: scatter.NewProgress(q.params, time.Now()), cancel: cancel, events: make(chan event, 1),
-		reached: make([]bool, 1), tried: make([][]magnoliashore.TargetID, 1), failures: make(map[int]string),
-	}
-	r.progress.RecordAttempt(time.Now(), 0)
-	r.events <- event{result: origin.Result{Status: http.StatusOK, Body: []byte("x"), Sent: true}}
-	if got := r.abort(); got != scatter.Answer || r.answer == nil {
-		t.Errorf("got decision %d, want the answer", got)
+	for _, test := range []struct {
+		name string
+		tail *origin.Tail
+		want scatter.Decision
+	}{
+		{"a whole answer", nil, scatter.Answer},
+		{"the beginning of a long one", &origin.Tail{}, scatter.Fail},
+	} {
+		e, _ := shardedEngine()
+		e.Pool = &origin.Pool{Dialect: signedDialect{}}
+		q := &query{services: []magnoliashore.ServiceName{"s0"}, params: scatter.Params{Shards: 1, MinShards: 1, MaxAttempts: 1}}
+		_, cancel := context.WithCancel(t.Context())
+		r := &queryRun{
+			engine: e, query: q, progress: scatter.NewProgress(q.params, time.Now()), cancel: cancel, events: make(chan event, 1),
+			reached: make([]bool, 1), tried: make([][]magnoliashore.TargetID, 1), failures: make(map[int]string),
+		}
+		r.progress.RecordAttempt(time.Now(), 0)
+		r.events <- event{result: origin.Result{Status: http.StatusOK, Body: []byte("x"), Tail: test.tail, Sent: true}}
+		if got := r.abort(); got != test.want || (r.answer != nil) != (test.want == scatter.Answer) || !r.mayHaveRun() {
+			t.Errorf("%s: got decision %d, answer %+v and may have run %t; want %d and true", test.name, got, r.answer, r.mayHaveRun(), test.want)
+		}
 	}
 }
 
@@ -131,3 +140,17 @@
 		}
 	}
 }
+
+// TestFieldsBetweenHostsOfATarget guards against a target whose answer makes another host
+// take a request for refused, which sends it again, or other targets for leaving.
+func TestFieldsBetweenHostsOfATarget(t *testing.T) {
+	t.Parallel()
+	recorder := httptest.NewRecorder()
+	status, ok := writeHead(recorder, http.StatusOK, http.Header{
+		"Forward-Refused": {"1"}, "Forward-Own-Refusal": {"1"}, "Forward-Leaving": {"t1"}, "Forward": {"kept"},
+	}, 0)
+	got := recorder.Header()
+	if status != http.StatusOK || !ok || got.Get("Forward-Refused")+got.Get("Forward-Own-Refusal")+got.Get("Forward-Leaving") != "" || got.Get("Forward") != "kept" {
+		t.Errorf("got status %d and header %v, want 200 without the fields of hosts", status, got)
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -198,7 +198,8 @@
 }
 
 // abort ends the attempts and waits for their outcomes, which tell whether any of them
-// may have run. It returns scatter.Fail, unless an answer arrives just then.
+// may have run. It returns scatter.Fail, unless a whole answer arrives just then: the rest
+// of a long one ends with the attempts.
 func (r *queryRun) abort() scatter.Decision {
 	r.cancel()
 	timeout := r.engine.Timer.After(abortTimeout)
@@ -208,12 +209,14 @@
 		case ev := <-r.events:
 			r.handle(ev)
 		case <-timeout.C:
+			r.answer = nil
 			return scatter.Fail
 		}
 	}
-	if !r.query.scatter && r.answer != nil {
+	if r.answer != nil && r.answer.Tail == nil {
 		return scatter.Answer
 	}
+	r.answer = nil
 	return scatter.Fail
 }
 
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -273,7 +273,7 @@
 		_ = resp.Body.Close()
 	case tailAllowed:
 		result.Tail = &Tail{
-			body: resp.Body, conn: c, length: max(resp.ContentLength-int64(len(body)), -1),
+			body: resp.Body, conn: c, timer: p.Timer, length: max(resp.ContentLength-int64(len(body)), -1),
 		}
 		result.Tail.release = sync.OnceFunc(func() {
 			p.held.used.Add(-held)
--- a/origin/stream.go
+++ b/origin/stream.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliashore/magnoliashore/timer"
 )
 
 var errStreamUsed = errors.New("the request body was already sent by another attempt")
@@ -115,6 +117,7 @@
 	body    io.ReadCloser
 	length  int64 // bytes; negative if unknown
 	conn    *conn
+	timer   *timer.Service
 	outcome TailOutcome
 	release func()              // ends the tail; may be called more than once
 	detach  func() bool         // detaches the tail from the attempt's context
@@ -188,7 +191,7 @@
 		return errCanceled
 	}
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.SetDeadline(time.Unix(1, 0)) })
-	source, began := &tailReader{source: t.body}, time.Now()
+	source, began := &tailReader{source: t.body}, t.timer.Now()
 	_, err := io.Copy(w, source)
 	if !stop() && err == nil {
 		err = errCanceled
@@ -196,7 +199,7 @@
 	// Without a length, an answer that is not over in time may have no end.
 	endless := t.length < 0 && errors.Is(ctx.Err(), context.DeadlineExceeded)
 	broken := err != nil && !errors.Is(ctx.Err(), context.Canceled) && (source.err != nil || endless)
-	t.outcome = TailOutcome{Complete: err == nil, Broken: broken, Took: time.Since(began)}
+	t.outcome = TailOutcome{Complete: err == nil, Broken: broken, Took: t.timer.Now().Sub(began)}
 	_ = t.body.Close()
 	t.finish(err == nil)
 	return errors.Wrap(err, "streaming the rest of the answer")
--- a/registry/departure.go
+++ b/registry/departure.go
@@ -34,7 +34,7 @@
 func (tbl *Table) isReplaced(t *catalog.Target) bool {
 	for _, e := range tbl.entries {
 		if current := e.decoded.Target; current != nil && current.ID() == t.ID() {
-			return !current.MayBe(t)
+			return !current.MayBeProcessOf(t)
 		}
 	}
 	return false
@@ -43,7 +43,7 @@
 // hasDeparted reports whether the process of a target has said that it leaves.
 func (tbl *Table) hasDeparted(t *catalog.Target) bool {
 	d, ok := tbl.departures[t.ID()]
-	return ok && t.MayBe(d.target)
+	return ok && t.MayBeProcessOf(d.target)
 }
 
 // departing returns the targets whose grace period since their departure is not over, and
@@ -64,7 +64,7 @@
 	}
 	for id, d := range tbl.departures {
 		t, listed := current[id]
-		if listed && !t.MayBe(d.target) || !listed && now.Sub(d.since) > forgetDeparture {
+		if listed && !t.MayBeProcessOf(d.target) || !listed && now.Sub(d.since) > forgetDeparture {
 			delete(tbl.departures, id)
 			continue
 		}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -124,6 +124,12 @@
 	return magnoliashore.IsRefusal(resp.StatusCode) && resp.Header.Get(headerOwnRefusal) != ""
 }
 
+// IsHostField reports whether a header field of an answer is for other hosts only. Targets
+// must not set it.
+func IsHostField(name string) bool {
+	return name == headerRefused || name == headerOwnRefusal || name == headerLeaving
+}
+
 // SetLeaving records in an answer to another host that the target which gave it leaves.
 func SetLeaving(h http.Header, id magnoliashore.TargetID) { h.Set(headerLeaving, string(id)) }
 
@@ -157,7 +163,8 @@
 // ForwardServer takes whole requests from other hosts.
 type ForwardServer struct {
 	// Handle answers a request, and refuses it only if it has not run. It returns an error,
-	// and writes nothing, if it does not take the request on. The request has no deadline in its context.
+	// and writes nothing, if it does not take the request on. The request has no deadline in
+	// its context.
 	Handle func(w http.ResponseWriter, r *http.Request, timeout, elapsed time.Duration) error
 	Log    log.Interface
 }
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -157,14 +157,18 @@
 // has left.
 func TestForwardEndsWithItsCaller(t *testing.T) {
 	t.Parallel()
-	ended := make(chan struct{})
+	received, ended := make(chan struct{}), make(chan struct{})
 	peer := startForwardServer(t, func(_ http.ResponseWriter, r *http.Request, _, _ time.Duration) error {
+		close(received)
 		<-r.Context().Done()
 		close(ended)
 		return nil
 	})
-	ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
-	defer leave()
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-received
+		leave()
+	}()
 	resp, err := relay.NewForwarder().Forward(ctx, peer, relay.ForwardedRequest{Method: "GET", URI: "/"})
 	if err == nil {
 		_ = resp.Body.Close()
