fix(gateway): deliver a ready answer also after the deadline of its caller

TestBodyWithoutEndOutlivesItsCaller got EOF: since a body over 16 KiB that was ready after its caller's deadline was cut before its head. It is written for 5 s at least now.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -54,13 +54,18 @@
 // fit into the buffers of a connection.
 const maxUnguarded = 16 << 10
 
+// minWriteTime is how long a caller that reads slowly is waited for at least: an answer that
+// is ready is delivered, also when it is late.
+const minWriteTime = 5 * time.Second
+
 // writeResult writes the answer of a target and returns the status that it has written. A
 // caller that does not read is waited for until it does not wait for the answer any more.
 func (h *Handler) writeResult(w http.ResponseWriter, run *queryRun) int {
 	result := run.answer
 	if len(result.Body) > maxUnguarded {
 		controller := http.NewResponseController(w)
-		if err := controller.SetWriteDeadline(run.query.streamUntil); err == nil { // recorders have no deadlines
+		until := h.Engine.Timer.Now().Add(max(h.Engine.timeUntil(run.query.streamUntil), minWriteTime))
+		if err := controller.SetWriteDeadline(until); err == nil { // recorders have no deadlines
 			defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 		}
 	}
