perf(origin): read the fields of an answer once, and drop shards only if some are done

 read the header fields of each answer twice, once for a target that leaves; readFinal returns what it has read now. copied the routing of each query; only a query whose first shard has answered needs that. Behaviour is the same.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -40,7 +40,9 @@
 		zones[zone] = zone != r.engine.Zone
 	}
 	routing := scatter.Plan(r.engine.Zone, r.replicas(), zones, newRandom())
-	routing = routing.Without(r.progress.HasResult)
+	if r.query.probed {
+		routing = routing.Without(r.progress.HasResult)
+	}
 	routing = scatter.Spread(routing, r.engine.Zone, hosts.Capacity(), helpers)
 	for _, b := range routing.Batches {
 		if !r.sendBatch(b) {
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -244,7 +244,7 @@
 // readAnswer reads one complete answer. If the request allows a Tail, it reads
 // only the first bytes of a long one.
 func (p *Pool) readAnswer(c *conn, req Request, target *catalog.Target) Result {
-	resp, err := p.readFinal(c, req, target)
+	resp, reply, err := p.readFinal(c, req, target)
 	if err != nil {
 		return Result{Err: errors.Wrap(err, "reading the target's answer")}
 	}
@@ -266,7 +266,7 @@
 	c.idleTimeout = keepAliveTimeout(resp.Header)
 	result := Result{
 		Status: resp.StatusCode, Header: resp.Header, Body: body,
-		Reply: p.Dialect.Reply(resp.StatusCode, resp.Header),
+		Reply: reply,
 	}
 	switch {
 	case !more:
@@ -286,39 +286,33 @@
 	return result
 }
 
-// readFinal reads the final response and skips interim (1xx) ones. It fails with
-// ErrTooLong if their heads are too long together.
-func (p *Pool) readFinal(c *conn, req Request, target *catalog.Target) (*http.Response, error) {
+// readFinal reads the final response and skips interim (1xx) ones. It reports a target
+// that leaves by any of their heads, and fails with ErrTooLong if these are too long
+// together.
+func (p *Pool) readFinal(c *conn, req Request, target *catalog.Target) (*http.Response, magnoliashore.TargetReply, error) {
 	c.bound.Allow(maxHeadBytes)
 	defer c.bound.AllowAll() // the body has a bound of its own
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if errors.Is(err, tcp.ErrTooLong) {
-			return nil, errors.Mark(err, ErrTooLong)
+			return nil, magnoliashore.TargetReply{}, errors.Mark(err, ErrTooLong)
 		}
 		if err != nil {
-			return nil, err
+			return nil, magnoliashore.TargetReply{}, err
+		}
+		reply := p.Dialect.Reply(resp.StatusCode, resp.Header)
+		if reply.Leaving && p.OnLeaving != nil && !byOther(reply, target) {
+			p.OnLeaving(target)
 		}
-		p.observeHead(resp, target)
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return resp, reply, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the target switched protocols unexpectedly")
+			return nil, magnoliashore.TargetReply{}, errors.New("the target switched protocols unexpectedly")
 		}
 	}
 }
 
-// observeHead reports a target that leaves by the head of an answer.
-func (p *Pool) observeHead(resp *http.Response, target *catalog.Target) {
-	if p.OnLeaving == nil {
-		return
-	}
-	if reply := p.Dialect.Reply(resp.StatusCode, resp.Header); reply.Leaving && !byOther(reply, target) {
-		p.OnLeaving(target)
-	}
-}
-
 // keepAliveTimeout returns the timeout of the Keep-Alive header; zero if there is
 // none.
 func keepAliveTimeout(h http.Header) time.Duration {
