--- a/review/rig-3/backend.go
+++ b/review/rig-3/backend.go
@@ -46,7 +46,7 @@
 }
 
 func (b *backend) start(ip string) {
-	l, err := net.Listen("tcp4", ip+":0")
+	l, err := listen(ip + ":0")
 	b.run.must(err)
 	b.mu.Lock()
 	b.l, b.conns, b.state, b.seq, b.born, b.stop = l, map[net.Conn]bool{}, "ready", 0, time.Now().UnixMilli(), make(chan struct{})
@@ -89,7 +89,7 @@
 	b.reported = b.state
 	entry := map[string]any{
 		"service": b.service, "address": b.l.Addr().String(), "zone": b.zone, "version": "v1", "slots": 4,
-		"state": b.state, "warmupLeftMs": 0, "seq": b.seq, "born": b.born,
+		"state": b.state, names["warmup"]: 0, "seq": b.seq, "born": b.born,
 	}
 	b.mu.Unlock()
 	b.run.store.put("servers/"+b.id, entry)
@@ -137,19 +137,19 @@
 		if err != nil {
 			return
 		}
-		id, expected := r.Header.Get("X-Magnoliashore-Request-Id"), r.Header.Get("X-Magnoliashore-Expect-Instance")
+		id, expected := r.Header.Get(prefix+"Request-Id"), r.Header.Get(prefix+"Expect-Instance")
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			b.run.record("backend %s: request %s %s %s ended early after %d bytes of its body", b.id, id, r.Method, r.RequestURI, len(body))
 			return
 		}
-		head := "X-Magnoliashore-Instance-Id: " + b.id + "\r\nX-Magnoliashore-Request-Id: " + id + "\r\n"
+		head := prefix + "Instance-Id: " + b.id + "\r\n" + prefix + "Request-Id: " + id + "\r\n"
 		switch {
 		case expected != "" && expected != b.id:
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sX-Magnoliashore-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", head)
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s"+prefix+"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", head)
 			continue
 		case id == "":
-			fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\n%sX-Magnoliashore-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", head)
+			fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\n%s"+prefix+"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", head)
 			continue
 		}
 		b.run.ran(b, r, body)
@@ -159,7 +159,7 @@
 				return
 			}
 		}
-		_, err = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%sX-Magnoliashore-Server-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s",
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s"+prefix+"Server-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s",
 			status, http.StatusText(status), head, stamp(b.id, id), len(answer), answer)
 		if err != nil {
 			return
--- a/review/rig-3/endless.go
+++ b/review/rig-3/endless.go
@@ -44,8 +44,8 @@
 			if !spoil {
 				return http.StatusOK, []byte("done by " + b.id)
 			}
-			id := q.Header.Get("X-Magnoliashore-Request-Id")
-			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Server-Stamp: %s\r\nConnection: close\r\n\r\n", id, stamp(b.id, id))
+			id := q.Header.Get(prefix + "Request-Id")
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n"+prefix+"Request-Id: %s\r\n"+prefix+"Server-Stamp: %s\r\nConnection: close\r\n\r\n", id, stamp(b.id, id))
 			block, sent := make([]byte, 16<<10), 0
 			for err == nil {
 				var n int
@@ -109,12 +109,12 @@
 // fetchOne plays one client. An answer that breaks off counts as its end.
 func fetchOne(r *run, i int) (status int, n int64, took time.Duration, err error) {
 	began := time.Now()
-	c, err := net.DialTimeout("tcp4", r.hosts[i%len(r.hosts)].front, time.Second)
+	c, err := dial(r.hosts[i%len(r.hosts)].front)
 	if err != nil {
 		return 0, 0, 0, err
 	}
 	defer c.Close()
-	_, err = fmt.Fprintf(c, "GET /archive/%d HTTP/1.1\r\nHost: %s\r\nX-Magnoliashore-Request-Id: bbbb%012x\r\nX-Magnoliashore-Deadline-Ms: %d\r\n\r\n", i, domain, i, archivePatience.Milliseconds())
+	_, err = fmt.Fprintf(c, "GET /archive/%d HTTP/1.1\r\nHost: %s\r\n"+prefix+"Request-Id: bbbb%012x\r\n"+prefix+"Deadline-Ms: %d\r\n\r\n", i, domain, i, archivePatience.Milliseconds())
 	_ = c.SetReadDeadline(began.Add(archivePatience))
 	if err == nil {
 		var resp *http.Response
--- a/review/rig-3/memory.go
+++ b/review/rig-3/memory.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -191,12 +190,12 @@
 // photoOne sends one photo over a slow link. It returns the status, or zero if there is no
 // answer, and whether the client may try again.
 func photoOne(host *gateway, id, photo string) (int, bool) {
-	c, err := net.DialTimeout("tcp4", host.front, time.Second)
+	c, err := dial(host.front)
 	if err != nil {
 		return 0, true
 	}
 	defer c.Close()
-	if _, err := fmt.Fprintf(c, "POST /upload/photo HTTP/1.1\r\nHost: %s\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n", domain, id, len(photo)); err != nil {
+	if _, err := fmt.Fprintf(c, "POST /upload/photo HTTP/1.1\r\nHost: %s\r\n"+prefix+"Request-Id: %s\r\n"+prefix+"Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n", domain, id, len(photo)); err != nil {
 		return 0, true
 	}
 	for step := range steps {
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -21,8 +20,8 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
-// store is a stand-in for the platform's metadata store: kv-range and kv-watch as
-// PROTOCOL.md describes them. Its answers are linearizable and it loses nothing.
+// store is a stand-in for the platform's metadata store: ranges and watches as PROTOCOL.md
+// describes them. Its answers are linearizable and it loses nothing.
 type store struct {
 	address string
 
@@ -35,12 +34,12 @@
 
 func newStore(r *run, ip string) *store {
 	s := &store{items: map[string]item{}, revision: 100, changed: make(chan struct{})}
-	l, err := net.Listen("tcp4", ip+":0")
+	l, err := listen(ip + ":0")
 	r.must(err)
 	s.address = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/kv-range", s.serveRange)
-	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
+	mux.HandleFunc("GET "+names["range"], s.serveRange)
+	mux.HandleFunc("GET "+names["watch"], s.serveWatch)
 	go func() { _ = http.Serve(l, mux) }()
 	return s
 }
--- a/review/rig-3/upload.go
+++ b/review/rig-3/upload.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -67,14 +66,14 @@
 // its answer belongs to another request.
 func uploadOne(r *run, i int) (int, bool) {
 	host := r.hosts[i%len(r.hosts)]
-	c, err := net.DialTimeout("tcp4", host.front, time.Second)
+	c, err := dial(host.front)
 	r.must(err)
 	defer c.Close()
 	// A log, sent in two pieces with a pause between them: the client has a slow link.
 	first := strings.Repeat("- a line of the log of an exhibition\n", 8000)
 	rest := strings.Repeat("- the last lines, a little later\n", 20)
 	upload, query := fmt.Sprintf("aaaa%012x", 2*i+1), fmt.Sprintf("aaaa%012x", 2*i+2)
-	_, err = fmt.Fprintf(c, "POST /upload/log%d HTTP/1.1\r\nHost: %s\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n%s",
+	_, err = fmt.Fprintf(c, "POST /upload/log%d HTTP/1.1\r\nHost: %s\r\n"+prefix+"Request-Id: %s\r\n"+prefix+"Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n%s",
 		i, domain, upload, len(first)+len(rest), first)
 	r.must(err)
 	time.Sleep(900 * time.Millisecond)
@@ -93,7 +92,7 @@
 		return 0, false // the client opens another connection for its next request
 	}
 	// The body is sent and its answer is read, so the connection is free for the next request.
-	_, err = fmt.Fprintf(c, "POST /archive/%d HTTP/1.1\r\nHost: %s\r\nX-Magnoliashore-Request-Id: %s\r\nX-Magnoliashore-Deadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nnote", i, domain, query)
+	_, err = fmt.Fprintf(c, "POST /archive/%d HTTP/1.1\r\nHost: %s\r\n"+prefix+"Request-Id: %s\r\n"+prefix+"Deadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nnote", i, domain, query)
 	r.record("client %d: sent POST %s on the same connection: %v", i, query, err)
 	resp, err = http.ReadResponse(reader, nil)
 	if err != nil {
@@ -104,7 +103,7 @@
 		return 0, false
 	}
 	body, _ := io.ReadAll(resp.Body)
-	sig := resp.Header.Get("X-Magnoliashore-Server-Stamp")
+	sig := resp.Header.Get(prefix + "Server-Stamp")
 	r.record("client %d: answer to %s: %d, stamp %q, %q", i, query, resp.StatusCode, sig, bytes.TrimSpace(body))
 	known := sig == stamp("i-archive1", query) || sig == stamp("i-archive2", query)
 	// A failure of the gateway's own that it may give to this request is 429, 502, 503 or 504.
